The thin path: one request from a caller through two daemons to a target

Cause: an empty repository. Change: the folders, the core types, and one path from end to end: operators' language, revisions in the store by compare-and-swap, membership, entry daemon, control links, admission, target. Rate and burst are divided evenly among the daemons, the baseline for what follows. Conclusion: the path holds; the even division is the first thing to replace.

--- /dev/null
+++ b/cmds/change/try.go
@@ -0,0 +1,46 @@
+package change
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"anvilstand/cmds/exit"
+	"anvilstand/io/trial"
+)
+
+// Try runs a small fleet in one process and measures it.
+var Try = &cli.Command{
+	Name:      "try",
+	Usage:     "run a small fleet on loopback, send it traffic and measure",
+	UsageText: "anvilstand try --profile pilha --seconds 10",
+	Flags: []cli.Flag{
+		&cli.StringFlag{Name: "profile", Usage: "`NAME` of the workload: pilha or sanabil", Value: "pilha"},
+		&cli.Float64Flag{Name: "seconds", Usage: "`N` seconds of traffic", Value: 10},
+		&cli.Uint64Flag{Name: "seed", Usage: "`N` that the traffic is drawn from", Value: 1},
+		&cli.BoolFlag{Name: "json", Usage: "print the measures as one JSON object"},
+	},
+	Action: try,
+}
+
+func try(ctx context.Context, cmd *cli.Command) error {
+	profile, ok := trial.ProfileOf(cmd.String("profile"))
+	if !ok {
+		return exit.New(exit.Refused, "try: --profile is pilha or sanabil")
+	}
+	report, err := trial.Run(ctx, profile, cmd.Float64("seconds"), cmd.Uint64("seed"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		err = json.NewEncoder(cmd.Root().Writer).Encode(report)
+	} else {
+		_, err = fmt.Fprint(cmd.Root().Writer, report.Text())
+	}
+	if err == nil && report.Broken() {
+		return exit.New(exit.Refused, "try: a promise was broken")
+	}
+	return err
+}
--- /dev/null
+++ b/cmds/query/version.go
@@ -0,0 +1,31 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+
+	"anvilstand/io/codec"
+)
+
+// Number is the release.
+const Number = "0.1.0"
+
+// Version prints the release.
+var Version = &cli.Command{
+	Name:      "version",
+	Usage:     "print the release, the protocol and the Go version",
+	UsageText: "anvilstand version",
+	Action:    version,
+}
+
+func version(_ context.Context, cmd *cli.Command) error {
+	goVersion := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		goVersion = info.GoVersion
+	}
+	_, err := fmt.Fprintf(cmd.Root().Writer, "anvilstand %s, protocol %d, %s\n", Number, codec.Version, goVersion)
+	return err
+}
--- /dev/null
+++ b/core/change/apply.go
@@ -0,0 +1,148 @@
+package change
+
+import (
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/model"
+)
+
+// MaxKeys is the number of keys that an organisation may hold at a time, two
+// so that a key can be rotated.
+const MaxKeys = 2
+
+// Reasons why a change does not apply.
+var (
+	// ErrExists means that the thing to create is there already.
+	ErrExists = errors.New("exists already")
+	// ErrAbsent means that the thing to change is not there.
+	ErrAbsent = errors.New("does not exist")
+	// ErrKeys means that the organisation holds as many keys as it may.
+	ErrKeys = errors.New("holds two keys already, withdraw one first")
+	// ErrKeyTaken means that another grant holds the key.
+	ErrKeyTaken = errors.New("is granted already")
+)
+
+// Apply applies a batch of changes to c and returns the configuration at
+// revision rev. If one change does not apply, none does.
+func Apply(c *conf.Config, batch []Change, rev model.Revision) (*conf.Config, error) {
+	d := conf.Edit(c)
+	for i, ch := range batch {
+		if err := applyOne(d, ch); err != nil {
+			return nil, errors.Wrapf(err, "apply change %d (%s)", i+1, Format(ch))
+		}
+	}
+	return d.Commit(rev), nil
+}
+
+func applyOne(d *conf.Draft, ch Change) error {
+	switch ch := ch.(type) {
+	case AddOrg:
+		return addOrg(d, ch)
+	case SetOrg:
+		return setOrg(d, ch)
+	case DropOrg:
+		return dropOrg(d, ch)
+	case Grant:
+		return grant(d, ch)
+	case Withdraw:
+		return withdraw(d, ch)
+	case AddService:
+		d.PutService(ch.name)
+	case DropService:
+		return dropService(d, ch)
+	case PutRoute:
+		return putRoute(d, ch)
+	case DropRoute:
+		return dropRoute(d, ch)
+	case SetDomain:
+		d.SetDomain(ch.name, ch.out)
+	case SetTarget:
+		d.SetTarget(ch.name, ch.out)
+	}
+	return nil
+}
+
+func addOrg(d *conf.Draft, ch AddOrg) error {
+	if _, ok := d.Current().Org(ch.name); ok {
+		return errors.Wrapf(ErrExists, "organisation %s", ch.name)
+	}
+	d.PutOrg(ch.name, ch.org)
+	return nil
+}
+
+func setOrg(d *conf.Draft, ch SetOrg) error {
+	o, ok := d.Current().Org(ch.name)
+	if !ok {
+		return errors.Wrapf(ErrAbsent, "organisation %s", ch.name)
+	}
+	if ch.rate != nil {
+		o = o.WithRate(*ch.rate, o.Burst())
+	}
+	if ch.burst != nil {
+		o = o.WithRate(o.Rate(), *ch.burst)
+	}
+	if ch.rank != nil {
+		o = o.WithRank(*ch.rank)
+	}
+	if ch.isolated != nil {
+		o = o.WithIsolated(ch.isolated)
+	}
+	d.PutOrg(ch.name, o)
+	return nil
+}
+
+func dropOrg(d *conf.Draft, ch DropOrg) error {
+	if _, ok := d.Current().Org(ch.name); !ok {
+		return errors.Wrapf(ErrAbsent, "organisation %s", ch.name)
+	}
+	d.DropOrg(ch.name)
+	return nil
+}
+
+func grant(d *conf.Draft, ch Grant) error {
+	o, ok := d.Current().Org(ch.org)
+	if !ok {
+		return errors.Wrapf(ErrAbsent, "organisation %s", ch.org)
+	}
+	if _, taken := d.Current().Holder(ch.key); taken {
+		return errors.Wrap(ErrKeyTaken, "key")
+	}
+	if len(o.Keys()) >= MaxKeys {
+		return errors.Wrapf(ErrKeys, "organisation %s", ch.org)
+	}
+	d.AddKey(ch.org, ch.key)
+	return nil
+}
+
+func withdraw(d *conf.Draft, ch Withdraw) error {
+	if _, ok := d.Current().Holder(ch.key); !ok {
+		return errors.Wrap(ErrAbsent, "key")
+	}
+	d.DropKey(ch.key)
+	return nil
+}
+
+func dropService(d *conf.Draft, ch DropService) error {
+	if _, ok := d.Current().Service(ch.name); !ok {
+		return errors.Wrapf(ErrAbsent, "service %s", ch.name)
+	}
+	d.DropService(ch.name)
+	return nil
+}
+
+func putRoute(d *conf.Draft, ch PutRoute) error {
+	if _, ok := d.Current().Service(ch.service); !ok {
+		return errors.Wrapf(ErrAbsent, "service %s", ch.service)
+	}
+	d.PutRoute(ch.service, ch.route)
+	return nil
+}
+
+func dropRoute(d *conf.Draft, ch DropRoute) error {
+	if _, ok := d.Current().Service(ch.service); !ok {
+		return errors.Wrapf(ErrAbsent, "service %s", ch.service)
+	}
+	d.DropRoute(ch.service, ch.route)
+	return nil
+}
--- /dev/null
+++ b/core/change/format.go
@@ -0,0 +1,127 @@
+package change
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/model"
+)
+
+// FormatAll returns the text of a batch, one change a line. Parse reads it
+// back to the same batch. A key stands in it as its digest.
+func FormatAll(batch []Change) string {
+	lines := make([]string, 0, len(batch))
+	for _, ch := range batch {
+		lines = append(lines, Format(ch))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Format returns the text of one change.
+func Format(ch Change) string {
+	switch ch := ch.(type) {
+	case AddOrg:
+		return formatAddOrg(ch.name, ch.org)
+	case SetOrg:
+		return formatSetOrg(ch)
+	case DropOrg:
+		return "drop org " + string(ch.name)
+	case Grant:
+		return fmt.Sprintf("grant %s digest %s", ch.org, ch.key)
+	case Withdraw:
+		return "withdraw digest " + ch.key.String()
+	case AddService:
+		return "add service " + string(ch.name)
+	case DropService:
+		return "drop service " + string(ch.name)
+	case PutRoute:
+		return formatRoute(ch.service, ch.route)
+	case DropRoute:
+		return fmt.Sprintf("drop route %s %s %s", ch.service, ch.route.Method(), ch.route.Prefix())
+	case SetDomain:
+		return formatOut("domain", string(ch.name), ch.out)
+	case SetTarget:
+		return formatOut("target", string(ch.name), ch.out)
+	}
+	return ""
+}
+
+func formatAddOrg(name model.Org, o conf.Org) string {
+	s := fmt.Sprintf("add org %s rate %s burst %s rank %d", name, number(o.Rate()), number(o.Burst()), o.Rank())
+	return s + formatIsolated(o.Isolated())
+}
+
+func formatSetOrg(ch SetOrg) string {
+	s := "set org " + string(ch.name)
+	if ch.rate != nil {
+		s += " rate " + number(*ch.rate)
+	}
+	if ch.burst != nil {
+		s += " burst " + number(*ch.burst)
+	}
+	if ch.rank != nil {
+		s += fmt.Sprintf(" rank %d", *ch.rank)
+	}
+	return s + formatIsolated(ch.isolated)
+}
+
+func formatIsolated(i conf.Isolated) string {
+	switch i.(type) {
+	case conf.Serve:
+		return " isolated serve"
+	case conf.Deny:
+		return " isolated deny"
+	}
+	return ""
+}
+
+func formatRoute(service model.Service, r conf.Route) string {
+	s := fmt.Sprintf("add route %s %s %s", service, r.Method(), r.Prefix())
+	if r.Idempotent() {
+		s += " idempotent"
+	}
+	if r.Open() {
+		s += " open"
+	}
+	if rank, ok := r.Rank(); ok {
+		s += fmt.Sprintf(" rank %d", rank)
+	}
+	return s
+}
+
+func formatOut(kind, name string, out bool) string {
+	if out {
+		return "out " + kind + " " + name
+	}
+	return "in " + kind + " " + name
+}
+
+func number(n float64) string { return strconv.FormatFloat(n, 'g', -1, 64) }
+
+// Describe returns the batch that builds c from the empty configuration.
+func Describe(c *conf.Config) []Change {
+	var batch []Change
+	for _, name := range c.Orgs() {
+		o, _ := c.Org(name)
+		batch = append(batch, AddOrg{name: name, org: o})
+		for _, k := range o.Keys() {
+			batch = append(batch, Grant{org: name, key: k})
+		}
+	}
+	for _, name := range c.Services() {
+		s, _ := c.Service(name)
+		batch = append(batch, AddService{name: name})
+		for _, r := range s.Routes() {
+			batch = append(batch, PutRoute{service: name, route: r})
+		}
+	}
+	for _, name := range c.Domains() {
+		batch = append(batch, SetDomain{name: name, out: c.Domain(name).Out()})
+	}
+	for _, name := range c.Targets() {
+		batch = append(batch, SetTarget{name: name, out: c.Target(name).Out()})
+	}
+	return batch
+}
--- /dev/null
+++ b/core/model/call.go
@@ -0,0 +1,46 @@
+package model
+
+import "time"
+
+// Call is what the daemons tell each other of a request. It is a value; the
+// With methods return changed copies.
+type Call struct {
+	id     Request
+	org    Org
+	rank   Rank
+	left   time.Duration
+	budget int
+}
+
+// NewCall returns the call of a request of an organisation. An open route's
+// call has no organisation.
+func NewCall(id Request, org Org, rank Rank) Call {
+	return Call{id: id, org: org, rank: rank}
+}
+
+// ID returns the request's identity, the same along the whole chain.
+func (c Call) ID() Request { return c.id }
+
+// Org returns the organisation whose key came with the request.
+func (c Call) Org() Org { return c.org }
+
+// Rank returns the request's importance, the same along the whole chain.
+func (c Call) Rank() Rank { return c.rank }
+
+// Left returns the time left until the deadline.
+func (c Call) Left() time.Duration { return c.left }
+
+// Budget returns how many more attempts the request may cause, here and below.
+func (c Call) Budget() int { return c.budget }
+
+// WithLeft returns the call with another time left.
+func (c Call) WithLeft(d time.Duration) Call {
+	c.left = d
+	return c
+}
+
+// WithBudget returns the call with another budget of retries.
+func (c Call) WithBudget(n int) Call {
+	c.budget = n
+	return c
+}
--- /dev/null
+++ b/core/peer/peer.go
@@ -0,0 +1,46 @@
+// Package peer holds the control messages that daemons send each other. How
+// they are encoded and carried is not known here.
+package peer
+
+import "anvilstand/core/model"
+
+// Message is a control message between two daemons. A message may be lost,
+// late, doubled or out of order.
+//
+//sumtype:decl
+type Message interface{ isMessage() }
+
+// Beat is a heartbeat: the sender lives, and has a revision in force.
+type Beat struct{ revision model.Revision }
+
+func (Beat) isMessage() {}
+
+// NewBeat returns a heartbeat.
+func NewBeat(rev model.Revision) Beat { return Beat{revision: rev} }
+
+// Revision returns the revision in force at the sender.
+func (b Beat) Revision() model.Revision { return b.revision }
+
+// Post is a message on its way to a daemon, or from one.
+type Post struct {
+	peer    model.Instance
+	message Message
+}
+
+// NewPost returns a message with the daemon it goes to or comes from.
+func NewPost(peer model.Instance, m Message) Post { return Post{peer: peer, message: m} }
+
+// Peer returns the daemon at the other end.
+func (p Post) Peer() model.Instance { return p.peer }
+
+// Message returns the message.
+func (p Post) Message() Message { return p.message }
+
+// Outbox collects messages to send. The zero value is empty.
+type Outbox struct{ posts []Post }
+
+// Add appends a message to a daemon.
+func (o *Outbox) Add(to model.Instance, m Message) { o.posts = append(o.posts, NewPost(to, m)) }
+
+// Posts returns the messages in order.
+func (o *Outbox) Posts() []Post { return o.posts }
--- /dev/null
+++ b/core/share/bucket.go
@@ -0,0 +1,52 @@
+// Package share divides an organisation's rate and burst among the daemons.
+package share
+
+import (
+	"time"
+
+	"anvilstand/core/model"
+)
+
+// Bucket is a token bucket. The zero value is empty and allows nothing.
+type Bucket struct {
+	rate   float64
+	burst  float64
+	tokens float64
+	filled model.Instant
+}
+
+// Set changes the rate, in tokens a second, and the burst, in tokens. Tokens
+// above the new burst are lost.
+func (b *Bucket) Set(now model.Instant, rate, burst float64) {
+	b.fill(now)
+	b.rate, b.burst = rate, burst
+	b.tokens = min(b.tokens, burst)
+}
+
+// Spend takes one token, or fails with OverRate and the time until there is
+// one.
+func (b *Bucket) Spend(now model.Instant) error {
+	b.fill(now)
+	if b.tokens < 1 {
+		return model.Refuse(model.OverRate{}, b.wait())
+	}
+	b.tokens--
+	return nil
+}
+
+func (b *Bucket) fill(now model.Instant) {
+	if elapsed := now.Sub(b.filled); elapsed > 0 {
+		b.tokens = min(b.burst, b.tokens+b.rate*elapsed.Seconds())
+		b.filled = now
+	}
+}
+
+// MaxWait bounds the wait that a refusal carries.
+const MaxWait = 10 * time.Second
+
+func (b *Bucket) wait() time.Duration {
+	if b.rate <= 0 {
+		return MaxWait
+	}
+	return min(MaxWait, time.Duration((1-b.tokens)/b.rate*float64(time.Second)))
+}
--- /dev/null
+++ b/io/codec/entry.go
@@ -0,0 +1,31 @@
+package codec
+
+import (
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/change"
+	"anvilstand/core/model"
+)
+
+// EncodeEntry encodes a committed change.
+func EncodeEntry(e change.Entry) ([]byte, error) {
+	return seal(e.Revision(), e.Op(), e.Operator(), e.Unix(), change.FormatAll(e.Batch()))
+}
+
+// DecodeEntry decodes a committed change.
+func DecodeEntry(data []byte) (change.Entry, error) {
+	var (
+		rev            model.Revision
+		op             model.Op
+		operator, text string
+		unix           int64
+	)
+	if err := open(data, &rev, &op, &operator, &unix, &text); err != nil {
+		return change.Entry{}, errors.Wrap(err, "decode entry")
+	}
+	batch, err := change.Parse(text)
+	if err != nil {
+		return change.Entry{}, errors.Wrapf(err, "decode entry %d", rev)
+	}
+	return change.NewEntry(rev, op, operator, unix, batch), nil
+}
--- /dev/null
+++ b/io/codec/member.go
@@ -0,0 +1,57 @@
+package codec
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+)
+
+// EncodeMembers encodes the members of a failure domain.
+func EncodeMembers(list []fleet.Member) ([]byte, error) {
+	packed := make([]cbor.RawMessage, 0, len(list))
+	for _, m := range list {
+		data, err := pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving())
+		if err != nil {
+			return nil, err
+		}
+		packed = append(packed, data)
+	}
+	return seal(packed)
+}
+
+// DecodeMembers decodes the members of a failure domain.
+func DecodeMembers(data []byte) ([]fleet.Member, error) {
+	var packed []cbor.RawMessage
+	if err := open(data, &packed); err != nil {
+		return nil, errors.Wrap(err, "decode members")
+	}
+	list := make([]fleet.Member, 0, len(packed))
+	for i, p := range packed {
+		m, err := decodeMember(p)
+		if err != nil {
+			return nil, errors.Wrapf(err, "decode member %d", i+1)
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func decodeMember(data []byte) (fleet.Member, error) {
+	var (
+		name    model.Instance
+		domain  model.Domain
+		service model.Service
+		address string
+		leaving bool
+	)
+	if err := unpack(data, &name, &domain, &service, &address, &leaving); err != nil {
+		return fleet.Member{}, err
+	}
+	m := fleet.NewMember(name, domain, service, address)
+	if leaving {
+		m = m.AsLeaving()
+	}
+	return m, nil
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,163 @@
+// Package daemon puts the parts of one daemon together and runs them.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/io/ctrl"
+	"anvilstand/io/front"
+	"anvilstand/io/link"
+	"anvilstand/io/meter"
+	"anvilstand/io/oper"
+	"anvilstand/io/prefs"
+	"anvilstand/io/store"
+	"anvilstand/io/watch"
+)
+
+// Daemon is one daemon beside one target.
+type Daemon struct {
+	prefs *prefs.Prefs
+	store store.Store
+	log   hclog.Logger
+	self  fleet.Member
+	loop  *ctrl.Loop
+	front *front.Front
+	oper  *oper.Oper
+	lns   []net.Listener
+}
+
+// New opens the daemon's listeners. An address with port 0 takes any free port.
+func New(p *prefs.Prefs, s store.Store, log hclog.Logger) (*Daemon, error) {
+	d := &Daemon{prefs: p, store: s, log: log}
+	for _, address := range []string{p.Front(), p.Peer(), p.Oper()} {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			d.closeListeners()
+			return nil, errors.Wrapf(err, "listen at %s", address)
+		}
+		d.lns = append(d.lns, ln)
+	}
+	m := meter.New()
+	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
+	d.loop = ctrl.New(d.self)
+	d.front = front.New(p, d.loop, m)
+	d.oper = oper.New(p, d.loop, s, m)
+	return d, nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, ln := range d.lns {
+		_ = ln.Close()
+	}
+}
+
+// FrontAddress returns where callers connect.
+func (d *Daemon) FrontAddress() string { return d.lns[0].Addr().String() }
+
+// OperAddress returns where operators connect.
+func (d *Daemon) OperAddress() string { return d.lns[2].Addr().String() }
+
+// Loop returns the control state.
+func (d *Daemon) Loop() *ctrl.Loop { return d.loop }
+
+// Run serves until ctx ends, then makes a planned stop: it announces that it
+// leaves, refuses new work, finishes what runs, and returns.
+func (d *Daemon) Run(ctx context.Context, domains []model.Domain) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	servers := d.servers(work)
+	for i, s := range servers {
+		g.Go(func() error { return serve(s, d.lns[i]) })
+	}
+	links := link.New(work, g, d.self.Name(), d.prefs.Secret(), d.log)
+	g.Go(func() error { return d.loop.Run(work, links) })
+	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
+	for _, name := range domains {
+		g.Go(func() error { return watch.Members(work, d.store, d.loop, name) })
+	}
+	g.Go(func() error {
+		_ = watch.Announce(ctx, d.store, d.self)
+		return nil
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		d.leave(servers)
+		stop()
+		return nil
+	})
+	d.log.Info("serving", "front", d.FrontAddress(), "peer", d.self.Address(), "oper", d.OperAddress())
+	return g.Wait()
+}
+
+func (d *Daemon) leave(servers []*http.Server) {
+	d.log.Info("leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
+	defer cancel()
+	_ = d.loop.Tell(ctx, ctrl.Depart{})
+	retire, done := context.WithTimeout(ctx, retireTimeout)
+	_ = watch.Retire(retire, d.store, d.self)
+	done()
+	d.front.Close()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx)
+	}
+	d.log.Info("left")
+}
+
+// Bounds of the listeners.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10 // bytes
+	retireTimeout = 2 * time.Second
+)
+
+// servers returns the servers of the listeners. Their requests end with ctx.
+func (d *Daemon) servers(ctx context.Context) []*http.Server {
+	handlers := []http.Handler{d.front.Callers(), d.peers(), d.oper.Handler()}
+	servers := make([]*http.Server, 0, len(handlers))
+	for _, h := range handlers {
+		servers = append(servers, &http.Server{
+			Handler:           h,
+			BaseContext:       func(net.Listener) context.Context { return ctx },
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+			ErrorLog:          d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		})
+	}
+	return servers
+}
+
+// peers serves the other daemons: their requests below /relay, their control
+// messages at /link.
+func (d *Daemon) peers() http.Handler {
+	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	m.Handle("/link", link.Accept(d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
+		return d.loop.Tell(ctx, ctrl.NewHeard(p))
+	}))
+	m.PathPrefix("/relay").Handler(d.front.Peers())
+	return m
+}
+
+func serve(s *http.Server, ln net.Listener) error {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve at %s", ln.Addr())
+	}
+	return nil
+}
--- /dev/null
+++ b/io/daemon/path_test.go
@@ -0,0 +1,243 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/model"
+	"anvilstand/io/daemon"
+	"anvilstand/io/prefs"
+	"anvilstand/io/stand"
+)
+
+const (
+	orgKey  = "secret-key-of-acme"
+	operKey = "secret-key-of-ana"
+)
+
+// pair is two daemons of one failure domain: the callers' one beside a target
+// of service entry, the other beside the target under test of service stock.
+type pair struct {
+	store  stand.Stand
+	caller *daemon.Daemon
+	callee *daemon.Daemon
+}
+
+func startPair(t *testing.T, target http.Handler) *pair {
+	t.Helper()
+	p := &pair{}
+	ctx, stop := context.WithCancel(context.Background())
+	g, ctx := errgroup.WithContext(ctx)
+	start := func(service string, h http.Handler) *daemon.Daemon {
+		back := httptest.NewServer(h)
+		t.Cleanup(back.Close)
+		d, err := daemon.New(settings(t, service, back.URL), &p.store, hclog.NewNullLogger())
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Go(func() error { return d.Run(ctx, []model.Domain{"north"}) })
+		return d
+	}
+	p.caller = start("entry", http.NotFoundHandler())
+	p.callee = start("stock", target)
+	t.Cleanup(func() {
+		stop()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func settings(t *testing.T, service, target string) *prefs.Prefs {
+	t.Helper()
+	text := fmt.Sprintf(`{"name": %q, "domain": "north", "service": %q, "front": "127.0.0.1:0", "peer": "127.0.0.1:0",
+		"oper": "127.0.0.1:0", "target": %q, "store": "http://127.0.0.1:1", "secret": "peer-secret",
+		"operators": {"ana": %q}, "grace": 5}`, service+"-1", service, target, operKey)
+	p, err := prefs.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *pair) tell(t *testing.T, text string) (int, string) {
+	t.Helper()
+	url := "http://" + p.caller.OperAddress() + "/tell?op=" + fmt.Sprintf("op%d", time.Now().UnixNano())
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+operKey)
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Body.Close()
+	body, _ := io.ReadAll(w.Body)
+	return w.StatusCode, string(body)
+}
+
+const setup = `add service stock
+add route stock GET /items idempotent
+add route stock POST /orders
+add route stock GET /open idempotent open
+add org acme rate 1000 burst 100
+grant acme key ` + orgKey
+
+func (p *pair) configure(t *testing.T) {
+	t.Helper()
+	if status, text := p.tell(t, setup); status != http.StatusOK {
+		t.Fatal(status, text)
+	}
+	ready := func(d *daemon.Daemon) bool {
+		v := d.Loop().View()
+		return v.Config().Revision() == 1 && len(v.Members()) == 2
+	}
+	for range 500 {
+		if ready(p.caller) && ready(p.callee) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the daemons did not learn the configuration")
+}
+
+// get sends a request, again after the wait that a refusal for rate names, as
+// a share is empty at first.
+func (p *pair) get(t *testing.T, path string, edit func(*http.Request)) (*http.Response, string, error) {
+	t.Helper()
+	for range 100 {
+		w, text, err := p.getOnce(t, path, edit)
+		if err != nil || w.StatusCode != http.StatusTooManyRequests {
+			return w, text, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the share stayed empty")
+	return nil, "", nil
+}
+
+func (p *pair) getOnce(t *testing.T, path string, edit func(*http.Request)) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.caller.FrontAddress()+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if edit != nil {
+		edit(r)
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer w.Body.Close()
+	body, err := io.ReadAll(w.Body)
+	return w, string(body), err
+}
+
+func withKey(key string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) }
+}
+
+func TestKeys(t *testing.T) {
+	p := startPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, r.URL.RequestURI(), " ", r.Header)
+	}))
+	p.configure(t)
+	cases := map[string]struct {
+		path   string
+		edit   func(*http.Request)
+		status int
+		reason string
+	}{
+		"bearer":      {path: "/stock/items", edit: withKey(orgKey), status: 200},
+		"key header":  {path: "/stock/items", edit: func(r *http.Request) { r.Header.Set("kEy", orgKey) }, status: 200},
+		"query":       {path: "/stock/items?key=" + orgKey + "&a=1", status: 200},
+		"cookie":      {path: "/stock/items", edit: func(r *http.Request) { r.AddCookie(&http.Cookie{Name: "key", Value: orgKey}) }, status: 200},
+		"other place": {path: "/stock/items", edit: func(r *http.Request) { withKey(orgKey)(r); r.Header.Set("X-Copy", orgKey) }, status: 200},
+		"open":        {path: "/stock/open", status: 200},
+		"no key":      {path: "/stock/items", status: 401, reason: "nokey"},
+		"bad key":     {path: "/stock/items", edit: withKey("another-key"), status: 401, reason: "badkey"},
+		"no route":    {path: "/stock/none", edit: withKey(orgKey), status: 404, reason: "noroute"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, text, err := p.get(t, tc.path, tc.edit)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.status, w.StatusCode); diff != "" {
+				t.Fatal(diff, text)
+			}
+			if strings.Contains(text, orgKey) {
+				t.Error("the target saw the key: ", text)
+			}
+			if tc.reason == "" {
+				return
+			}
+			want := fmt.Sprintf(`{"reason":%q,"run":"not","wait":0}`, tc.reason)
+			if diff := cmp.Diff(want, text); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestWithdrawnKeyStopsConnectedCaller(t *testing.T) {
+	p := startPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "ok") }))
+	p.configure(t)
+	if w, _, err := p.get(t, "/stock/items", withKey(orgKey)); err != nil || w.StatusCode != http.StatusOK {
+		t.Fatal(w, err)
+	}
+	if status, text := p.tell(t, "withdraw key "+orgKey); status != http.StatusOK {
+		t.Fatal(status, text)
+	}
+	w, text, err := p.get(t, "/stock/items", withKey(orgKey))
+	if err != nil || w.StatusCode != http.StatusUnauthorized {
+		t.Fatal(w, text, err)
+	}
+}
+
+func TestTruncatedAnswerIsBroken(t *testing.T) {
+	p := startPair(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<16))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	p.configure(t)
+	w, text, err := p.get(t, "/stock/items", withKey(orgKey))
+	if err == nil {
+		t.Fatalf("a truncated answer of %d bytes was taken for whole, status %d", len(text), w.StatusCode)
+	}
+}
+
+func TestLostStoreAnswerIsSettled(t *testing.T) {
+	p := startPair(t, http.NotFoundHandler())
+	p.store.SetFault(stand.Lost{})
+	status, text := p.tell(t, setup)
+	if diff := cmp.Diff(http.StatusOK, status); diff != "" {
+		t.Fatal(diff, text)
+	}
+	var result struct {
+		Revision int    `json:"revision"`
+		Result   string `json:"result"`
+	}
+	if err := json.Unmarshal([]byte(text), &result); err != nil {
+		t.Fatal(err)
+	}
+	if result.Revision != 1 || result.Result != "accepted" {
+		t.Error(result)
+	}
+}
--- /dev/null
+++ b/io/link/accept.go
@@ -0,0 +1,57 @@
+package link
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/hashicorp/go-hclog"
+
+	"anvilstand/core/lang"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/io/codec"
+)
+
+// Receiver takes the messages that arrive.
+type Receiver func(ctx context.Context, p peer.Post) error
+
+// Accept serves the links of other daemons and hands on what they send. A peer
+// that sends what does not decode is cut off.
+func Accept(secret string, log hclog.Logger, take Receiver) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		from := r.Header.Get("From")
+		if subtle.ConstantTimeCompare(shown, []byte("Bearer "+secret)) != 1 || !lang.IsName(from) {
+			http.Error(w, "peer is not known", http.StatusUnauthorized)
+			return
+		}
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			log.Debug("accept link failed", "peer", from, "error", err)
+			return
+		}
+		defer func() { _ = conn.CloseNow() }()
+		conn.SetReadLimit(maxMessage)
+		err = receive(r.Context(), conn, model.Instance(from), take)
+		log.Debug("link ended", "peer", from, "error", err)
+		_ = conn.Close(websocket.StatusProtocolError, "link ended")
+	})
+}
+
+func receive(ctx context.Context, conn *websocket.Conn, from model.Instance, take Receiver) error {
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		m, err := codec.DecodeMessage(data)
+		if err != nil {
+			return err
+		}
+		if err := take(ctx, peer.NewPost(from, m)); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,96 @@
+// Package meter holds the counters of a daemon.
+package meter
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"anvilstand/core/model"
+	"anvilstand/core/query"
+)
+
+// Meter counts what a daemon does.
+type Meter struct {
+	registry *prometheus.Registry
+	served   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	retried  *prometheus.CounterVec
+	mu       sync.Mutex
+	counts   map[model.Org]*tally
+}
+
+type tally struct {
+	served  uint64
+	refused map[string]uint64
+}
+
+// New returns a meter at zero.
+func New() *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		served:   counter("served_total", "Whole answers given, by organisation and service.", "org", "service"),
+		refused:  counter("refused_total", "Requests refused, by organisation and reason.", "org", "reason"),
+		retried:  counter("retried_total", "Attempts repeated, by service and reason.", "service", "reason"),
+		counts:   map[model.Org]*tally{},
+	}
+	m.registry.MustRegister(m.served, m.refused, m.retried)
+	for _, r := range model.Reasons() {
+		m.refused.WithLabelValues("", model.ReasonName(r))
+	}
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "anvilstand", Name: name, Help: help}, labels)
+}
+
+// Handler serves the counters in the Prometheus format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Serve counts a whole answer.
+func (m *Meter) Serve(org model.Org, service model.Service) {
+	m.served.WithLabelValues(string(org), string(service)).Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tally(org).served++
+}
+
+// Refuse counts a refusal.
+func (m *Meter) Refuse(org model.Org, r model.Reason) {
+	name := model.ReasonName(r)
+	m.refused.WithLabelValues(string(org), name).Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tally(org).refused[name]++
+}
+
+// Retry counts a repeated attempt.
+func (m *Meter) Retry(service model.Service, r model.Retry) {
+	m.retried.WithLabelValues(string(service), model.RetryName(r)).Inc()
+}
+
+// Count returns what was counted for an organisation.
+func (m *Meter) Count(org model.Org) query.Count {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.tally(org)
+	refused := make(map[string]uint64, len(t.refused))
+	for k, n := range t.refused {
+		refused[k] = n
+	}
+	return query.NewCount(t.served, refused)
+}
+
+func (m *Meter) tally(org model.Org) *tally {
+	t := m.counts[org]
+	if t == nil {
+		t = &tally{refused: map[string]uint64{}}
+		m.counts[org] = t
+	}
+	return t
+}
--- /dev/null
+++ b/io/prefs/check.go
@@ -0,0 +1,129 @@
+package prefs
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+
+	"anvilstand/core/lang"
+)
+
+// Fault is one fault of a settings text.
+type Fault struct {
+	line  int
+	field string
+	want  string
+}
+
+// Error returns the place of the fault and what is allowed there.
+func (f Fault) Error() string { return fmt.Sprintf("line %d: %s: %s", f.line, f.field, f.want) }
+
+// Faults are all faults of a settings text.
+type Faults []Fault
+
+// Error returns the faults, one a line.
+func (all Faults) Error() string {
+	lines := make([]string, 0, len(all))
+	for _, f := range all {
+		lines = append(lines, f.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// fields are the names that settings may have, in the order of the docs.
+var fields = []string{
+	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
+	"operators", "deadline", "grace", "budget", "body",
+}
+
+func unknownFields(text []byte) Faults {
+	value, err := hujson.Parse(text)
+	object, ok := value.Value.(*hujson.Object)
+	if err != nil {
+		ok = false
+	}
+	if !ok {
+		return Faults{{line: 1, field: "settings", want: "an object in braces"}}
+	}
+	var faults Faults
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		if !slices.Contains(fields, name) {
+			want := "unknown, the fields are " + strings.Join(fields, ", ")
+			faults = append(faults, Fault{line: lineAt(text, m.Name.StartOffset), field: name, want: want})
+		}
+	}
+	return faults
+}
+
+func lineAt(text []byte, offset int) int { return 1 + strings.Count(string(text[:offset]), "\n") }
+
+func lineOf(text []byte, field string) int {
+	if i := strings.Index(string(text), `"`+field+`"`); i >= 0 {
+		return lineAt(text, i)
+	}
+	return 1
+}
+
+func typeFault(text []byte, err error) Fault {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		field := strings.ToLower(wrong.Field)
+		return Fault{line: lineOf(text, field), field: field, want: "a " + wrong.Type.String() + ", not a " + wrong.Value}
+	}
+	return Fault{line: 1, field: "settings", want: err.Error()}
+}
+
+// Bounds of the settings.
+const (
+	minSecret = 8
+	maxBudget = 100
+	maxTime   = 3600 // seconds
+)
+
+func (p *Prefs) check(text []byte) Faults {
+	var faults Faults
+	need := func(ok bool, field, want string) {
+		if !ok {
+			faults = append(faults, Fault{line: lineOf(text, field), field: field, want: want})
+		}
+	}
+	const name = "a name of up to 64 letters, digits and - _ . :"
+	need(lang.IsName(string(p.name)), "name", name)
+	need(lang.IsName(string(p.domain)), "domain", name)
+	need(lang.IsName(string(p.service)), "service", name)
+	const address = "an address as host:port with an IP number"
+	need(isAddress(p.front), "front", address)
+	need(isAddress(p.peer), "peer", address)
+	need(isAddress(p.oper), "oper", address)
+	const base = "a URL as http://host:port"
+	need(isBase(p.target), "target", base)
+	need(isBase(p.store), "store", base)
+	need(len(p.secret) >= minSecret, "secret", "at least 8 bytes")
+	need(len(p.operators) > 0, "operators", "at least one operator with a key")
+	for who, key := range p.operators {
+		need(lang.IsName(who) && len(key) >= minSecret, "operators", who+": "+name+" with a key of at least 8 bytes")
+	}
+	const seconds = "seconds, above 0 and up to 3600"
+	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
+	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
+	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
+	need(p.maxBody > 0, "body", "bytes, above 0")
+	return faults
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isBase(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- /dev/null
+++ b/io/prefs/prefs.go
@@ -0,0 +1,127 @@
+// Package prefs reads and checks the settings of a daemon: JSON with comments.
+package prefs
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+
+	"anvilstand/core/model"
+)
+
+// Prefs are the settings of one daemon.
+type Prefs struct {
+	name      model.Instance
+	domain    model.Domain
+	service   model.Service
+	front     string
+	peer      string
+	oper      string
+	target    string
+	store     string
+	secret    string
+	operators map[string]string
+	deadline  time.Duration
+	grace     time.Duration
+	budget    int
+	maxBody   int64
+}
+
+// Name returns the instance's name.
+func (p *Prefs) Name() model.Instance { return p.name }
+
+// Domain returns the failure domain the instance is in.
+func (p *Prefs) Domain() model.Domain { return p.domain }
+
+// Service returns the service of the target.
+func (p *Prefs) Service() model.Service { return p.service }
+
+// Front returns where callers connect, as host:port.
+func (p *Prefs) Front() string { return p.front }
+
+// Peer returns where other daemons connect, as host:port.
+func (p *Prefs) Peer() string { return p.peer }
+
+// Oper returns where operators connect, as host:port.
+func (p *Prefs) Oper() string { return p.oper }
+
+// Target returns the base URL of the target.
+func (p *Prefs) Target() string { return p.target }
+
+// Store returns the base URL of the platform's key-value service.
+func (p *Prefs) Store() string { return p.store }
+
+// Secret returns what daemons show each other.
+func (p *Prefs) Secret() string { return p.secret }
+
+// Operators returns the operators' keys, by name.
+func (p *Prefs) Operators() map[string]string { return p.operators }
+
+// Deadline returns the time that a request has when its caller sets none.
+func (p *Prefs) Deadline() time.Duration { return p.deadline }
+
+// Grace returns the bound of a planned stop.
+func (p *Prefs) Grace() time.Duration { return p.grace }
+
+// Budget returns the retries that a request may cause along its whole chain.
+func (p *Prefs) Budget() int { return p.budget }
+
+// MaxBody returns the largest request body, in bytes.
+func (p *Prefs) MaxBody() int64 { return p.maxBody }
+
+// Defaults of the settings that may be left out.
+const (
+	defaultDeadline = 5 * time.Second
+	defaultGrace    = 30 * time.Second
+	defaultBudget   = 3
+	defaultMaxBody  = 64 << 20
+)
+
+// Parse reads and checks settings. An error is Faults when the form was read.
+func Parse(text []byte) (*Prefs, error) {
+	plain, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	faults := unknownFields(text)
+	var w struct {
+		Name, Domain, Service     string
+		Front, Peer, Oper, Target string
+		Store, Secret             string
+		Operators                 map[string]string
+		Deadline, Grace           *float64
+		Budget                    *int
+		Body                      *int64
+	}
+	if err := json.Unmarshal(plain, &w); err != nil {
+		return nil, append(faults, typeFault(text, err))
+	}
+	p := &Prefs{
+		name: model.Instance(w.Name), domain: model.Domain(w.Domain), service: model.Service(w.Service),
+		front: w.Front, peer: w.Peer, oper: w.Oper, target: w.Target, store: w.Store, secret: w.Secret,
+		operators: w.Operators,
+		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
+		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
+	}
+	if faults = append(faults, p.check(text)...); len(faults) > 0 {
+		return nil, faults
+	}
+	return p, nil
+}
+
+func seconds(n *float64, otherwise time.Duration) time.Duration {
+	if n == nil {
+		return otherwise
+	}
+	return time.Duration(*n * float64(time.Second))
+}
+
+func or[T any](p *T, otherwise T) T {
+	if p == nil {
+		return otherwise
+	}
+	return *p
+}
