A seam for the network, so that tests can cut it

Cause: faults of the network can only be played on a network of our own. No change of behaviour; tests as before.

--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -14,6 +14,7 @@
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
 	"anvilstand/io/store"
+	"anvilstand/io/wire"
 )
 
 // Serve runs one daemon beside one target.
@@ -38,7 +39,7 @@
 		return err
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: string(p.Name()), JSONFormat: cmd.Bool("json")})
-	d, err := daemon.New(p, store.NewClient(p.Store(), &http.Client{}), log)
+	d, err := daemon.New(p, wire.TCP{}, store.NewClient(p.Store(), &http.Client{}), log)
 	if err != nil {
 		return err
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -23,11 +23,13 @@
 	"anvilstand/io/prefs"
 	"anvilstand/io/store"
 	"anvilstand/io/watch"
+	"anvilstand/io/wire"
 )
 
 // Daemon is one daemon beside one target.
 type Daemon struct {
 	prefs *prefs.Prefs
+	net   wire.Network
 	store store.Store
 	log   hclog.Logger
 	self  fleet.Member
@@ -38,10 +40,10 @@
 }
 
 // New opens the daemon's listeners. An address with port 0 takes any free port.
-func New(p *prefs.Prefs, s store.Store, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{prefs: p, store: s, log: log}
+func New(p *prefs.Prefs, n wire.Network, s store.Store, log hclog.Logger) (*Daemon, error) {
+	d := &Daemon{prefs: p, net: n, store: s, log: log}
 	for _, address := range []string{p.Front(), p.Peer(), p.Oper()} {
-		ln, err := net.Listen("tcp", address)
+		ln, err := n.Listen(address)
 		if err != nil {
 			d.closeListeners()
 			return nil, errors.Wrapf(err, "listen at %s", address)
@@ -51,7 +53,7 @@
 	m := meter.New()
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
 	d.loop = ctrl.New(d.self)
-	d.front = front.New(p, d.loop, m)
+	d.front = front.New(p, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
 	return d, nil
 }
@@ -81,7 +83,7 @@
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.lns[i]) })
 	}
-	links := link.New(work, g, d.self.Name(), d.prefs.Secret(), d.log)
+	links := link.New(work, g, d.net, d.self.Name(), d.prefs.Secret(), d.log)
 	g.Go(func() error { return d.loop.Run(work, links) })
 	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
 	for _, name := range domains {
--- a/io/daemon/path_test.go
+++ b/io/daemon/path_test.go
@@ -19,6 +19,7 @@
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
 	"anvilstand/io/stand"
+	"anvilstand/io/wire"
 )
 
 const (
@@ -42,7 +43,7 @@
 	start := func(service string, h http.Handler) *daemon.Daemon {
 		back := httptest.NewServer(h)
 		t.Cleanup(back.Close)
-		d, err := daemon.New(settings(t, service, back.URL), &p.store, hclog.NewNullLogger())
+		d, err := daemon.New(settings(t, service, back.URL), wire.TCP{}, &p.store, hclog.NewNullLogger())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -16,6 +16,7 @@
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
 	"anvilstand/io/codec"
+	"anvilstand/io/wire"
 )
 
 // Bounds of a link.
@@ -38,6 +39,7 @@
 type Links struct {
 	self   model.Instance
 	secret string
+	caller *http.Client
 	log    hclog.Logger
 	group  *errgroup.Group
 	ctx    context.Context
@@ -46,8 +48,12 @@
 }
 
 // New returns links that live until ctx ends, in a group of goroutines.
-func New(ctx context.Context, g *errgroup.Group, self model.Instance, secret string, log hclog.Logger) *Links {
-	return &Links{self: self, secret: secret, log: log, group: g, ctx: ctx, open: map[string]chan peer.Message{}}
+func New(ctx context.Context, g *errgroup.Group, n wire.Network, self model.Instance, secret string, log hclog.Logger) *Links {
+	return &Links{
+		self: self, secret: secret, log: log, group: g, ctx: ctx,
+		caller: &http.Client{Transport: &http.Transport{DialContext: n.DialContext}},
+		open:   map[string]chan peer.Message{},
+	}
 }
 
 // Send queues a message for the daemon at an address, as host:port, and
@@ -94,7 +100,7 @@
 	header.Set("From", string(l.self))
 	dial, stop := context.WithTimeout(ctx, silence)
 	defer stop()
-	conn, _, err := websocket.Dial(dial, "ws://"+address+"/link", &websocket.DialOptions{HTTPHeader: header})
+	conn, _, err := websocket.Dial(dial, "ws://"+address+"/link", &websocket.DialOptions{HTTPHeader: header, HTTPClient: l.caller})
 	if err != nil {
 		return errors.Wrapf(err, "dial %s", address)
 	}
--- a/io/trial/fleet.go
+++ b/io/trial/fleet.go
@@ -19,6 +19,7 @@
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
 	"anvilstand/io/stand"
+	"anvilstand/io/wire"
 )
 
 // operatorKey is the key of the trial's only operator.
@@ -65,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(prefs, &f.store, hclog.NewNullLogger())
+	d, err := daemon.New(prefs, wire.TCP{}, &f.store, hclog.NewNullLogger())
 	if err != nil {
 		return err
 	}
