--- a/proof/cable/cable.go
+++ b/proof/cable/cable.go
@@ -7,7 +7,6 @@
 package cable
 
 import (
-	"net"
 	"sync"
 	"time"
 )
@@ -28,6 +27,7 @@
 	rules map[pair]rule
 	conns map[*Conn]bool
 	tap   Tap
+	seen  map[string]bool
 	delay time.Duration
 }
 
@@ -161,7 +161,40 @@
 	}
 }
 
-func hostOf(address string) string {
-	host, _, _ := net.SplitHostPort(address)
-	return host
+// Part cuts, or heals, the links between the hosts for which inside holds and
+// all others: what comes in only, or both ways.
+func (c *Cable) Part(inside func(ip string) bool, in, cut bool) {
+	for _, p := range c.pairs() {
+		if inside(p.from) == inside(p.to) || (in && inside(p.from)) {
+			continue
+		}
+		c.change(p.from, p.to, func(r *rule) { r.cut = cut })
+	}
+}
+
+func (c *Cable) pairs() []pair {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []pair
+	for from := range c.seen {
+		for to := range c.seen {
+			all = append(all, pair{from, to})
+		}
+	}
+	return all
+}
+
+// Freeze freezes the host at an IP number.
+func (c *Cable) Freeze(ip string) { c.freeze(ip, true) }
+
+// Thaw ends Freeze.
+func (c *Cable) Thaw(ip string) { c.freeze(ip, false) }
+
+func (c *Cable) freeze(ip string, frozen bool) {
+	c.mu.Lock()
+	h := c.hosts[ip]
+	c.mu.Unlock()
+	if h != nil {
+		h.setFrozen(frozen)
+	}
 }
--- a/proof/cable/host.go
+++ b/proof/cable/host.go
@@ -37,13 +37,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.hosts == nil {
-		c.hosts = map[string]*Host{}
+		c.hosts, c.seen = map[string]*Host{}, map[string]bool{}
 	}
 	h := &Host{
 		cable: c, ip: ip, changed: make(chan struct{}),
 		listeners: map[string]*listener{}, nextPort: firstPort,
 	}
-	c.hosts[ip] = h
+	c.hosts[ip], c.seen[ip] = h, true
 	return h
 }
 
@@ -194,8 +194,11 @@
 
 type address string
 
+// Network returns the name of the network.
 func (a address) Network() string { return "tcp" }
-func (a address) String() string  { return string(a) }
+
+// String returns the address as host:port.
+func (a address) String() string { return string(a) }
 
 // backlog is how many connections wait to be accepted.
 const backlog = 1024
--- /dev/null
+++ b/proof/cells/run.go
@@ -0,0 +1,185 @@
+package cells
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/proof/cable"
+)
+
+// Cell is a step with the faults that are placed at it, the first at the step
+// and each other at the next write that is the step, a second later.
+type Cell struct {
+	step   Step
+	faults []Fault
+	seed   uint64
+}
+
+// NewCell returns a cell.
+func NewCell(s Step, seed uint64, faults ...Fault) Cell {
+	return Cell{step: s, faults: faults, seed: seed}
+}
+
+// Name returns the name of the cell.
+func (c Cell) Name() string {
+	names := make([]string, 0, len(c.faults))
+	for _, f := range c.faults {
+		names = append(names, Name(f))
+	}
+	return Name(c.step) + "/" + strings.Join(names, "+")
+}
+
+// Cells returns every step with every fault.
+func Cells(seed uint64) []Cell {
+	var all []Cell
+	for _, s := range Steps() {
+		for _, f := range Faults() {
+			all = append(all, NewCell(s, seed, f))
+		}
+	}
+	return all
+}
+
+// Operations of the operator in each cell.
+const (
+	opSetup    = "setup"
+	opWithdraw = "withdraw"
+	opOut      = "out"
+	opIn       = "in"
+)
+
+// Times of a cell, from its start.
+const (
+	settled     = 3 * time.Second
+	provoked    = 6 * time.Second
+	changed     = provoked + 500*time.Millisecond
+	returned    = 18 * time.Second
+	ends        = 26 * time.Second
+	lastSeconds = 3 * time.Second
+	looks       = 250 * time.Millisecond
+	second      = time.Second
+)
+
+// Run runs a cell in the synctest bubble that it is called in, and returns its
+// history.
+func Run(c Cell) (*History, error) { return run(c, newFleet()) }
+
+func run(c Cell, f *fleet) (*History, error) {
+	if err := f.start(); err != nil {
+		return nil, err
+	}
+	h := f.history
+	h.calm = !disturbs(c.step)
+	for _, fault := range c.faults {
+		h.calm = h.calm && calm(fault)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ends)
+	defer cancel()
+	g := &errgroup.Group{}
+	g.Go(func() error {
+		f.look(ctx)
+		return nil
+	})
+	f.tell(ctx, opSetup, setup())
+	f.until(settled)
+	g.Go(func() error {
+		f.traffic(ctx, c.seed)
+		return nil
+	})
+	f.until(provoked)
+	f.arm(c)
+	f.provoke(c.step)
+	f.change(ctx, g)
+	<-ctx.Done()
+	h.ended = h.now()
+	_ = g.Wait()
+	f.inspect()
+	f.close()
+	return h, nil
+}
+
+func (f *fleet) until(t time.Duration) { time.Sleep(t - f.history.now()) }
+
+// arm places the cell's faults at its step.
+func (f *fleet) arm(c Cell) {
+	next, not := 0, time.Duration(0)
+	f.then(func(w cable.Write) cable.Act {
+		if next == len(c.faults) || f.history.now() < not || !f.happens(c.step, w) {
+			return nil
+		}
+		next, not = next+1, f.history.now()+second
+		return f.strike(c.faults[next-1], w)
+	})
+}
+
+// change withdraws a key, takes a failure domain out and brings it back.
+func (f *fleet) change(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error {
+		f.until(changed)
+		f.tell(ctx, opWithdraw, "withdraw key "+withdrawn)
+		f.tell(ctx, opOut, "out domain "+string(outDomain))
+		f.until(returned)
+		f.tell(ctx, opIn, "in domain "+string(outDomain))
+		return nil
+	})
+}
+
+// look notes what every daemon holds until ctx ends.
+func (f *fleet) look(ctx context.Context) {
+	t := time.NewTicker(looks)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			for _, n := range f.nodes {
+				n.look()
+			}
+		}
+	}
+}
+
+// inspect looks for keys in the logs, the metrics and the answers to queries.
+func (f *fleet) inspect() {
+	for _, key := range keys {
+		if f.log.contains(key) {
+			f.history.leak("a log")
+		}
+	}
+	for _, n := range f.nodes {
+		for _, path := range []string{"/metrics", "/ask?q=" + url.QueryEscape("orgs"), "/ask?q=served"} {
+			text, err := f.emitted(n, path)
+			if err != nil {
+				continue
+			}
+			for _, key := range keys {
+				if strings.Contains(text, key) {
+					f.history.leak(fmt.Sprint(n.name(), path))
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) emitted(n *node, path string) (string, error) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.ip()+":"+operPort+path, http.NoBody)
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorKey)
+	w, err := f.callers[n.n].Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer w.Body.Close()
+	text, err := io.ReadAll(w.Body)
+	return string(text), err
+}
