TLS on every link, where certificates are set

Cause: callers, operators and peers spoke in the clear. Change: settings cert, key and authority; the network under the listeners and links is wrapped, peers show each other certificates of one authority. A type fault in the settings no longer hides the faults of other fields. Figures: five cases of who may speak to whom, three refused, two served.

--- a/cmds/change/tell.go
+++ b/cmds/change/tell.go
@@ -14,7 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"anvilstand/cmds/exit"
+	"anvilstand/cmds/tool"
 )
 
 // Tell sends a command to a daemon.
@@ -27,6 +27,7 @@
 		&cli.BoolFlag{Name: "json", Usage: "print the result as JSON"},
 		&cli.StringFlag{Name: "key", Usage: "operator `KEY`", Sources: cli.EnvVars("ANVILSTAND_KEY")},
 		&cli.StringFlag{Name: "op", Usage: "`ID` of the operation, to send it again safely"},
+		tool.AuthorityFlag(),
 		&cli.Uint64Flag{Name: "revision", Usage: "revision `N` that the command expects in force"},
 	},
 	Action: tell,
@@ -37,13 +38,13 @@
 
 func tell(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 2 {
-		return exit.New(exit.Refused, "tell: expected ADDR 'COMMAND'")
+		return tool.New(tool.Refused, "tell: expected ADDR 'COMMAND'")
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	w, err := post(ctx, cmd)
 	if err != nil {
-		return exit.New(exit.Unknown, fmt.Sprintf("tell %s: %v", cmd.Args().First(), err))
+		return tool.New(tool.Unknown, fmt.Sprintf("tell %s: %v", cmd.Args().First(), err))
 	}
 	defer w.Body.Close()
 	var result struct {
@@ -51,7 +52,7 @@
 		Result   string `json:"result"`
 	}
 	if err := json.NewDecoder(w.Body).Decode(&result); err != nil {
-		return exit.New(exit.Unknown, fmt.Sprintf("tell %s: %v", cmd.Args().First(), err))
+		return tool.New(tool.Unknown, fmt.Sprintf("tell %s: %v", cmd.Args().First(), err))
 	}
 	if cmd.Bool("json") {
 		_ = json.NewEncoder(cmd.Root().Writer).Encode(result)
@@ -71,13 +72,17 @@
 	if cmd.IsSet("revision") {
 		query.Set("revision", strconv.FormatUint(cmd.Uint64("revision"), 10))
 	}
-	target := "http://" + cmd.Args().First() + "/tell?" + query.Encode()
+	client, base, err := tool.Client(cmd, cmd.Args().First())
+	if err != nil {
+		return nil, err
+	}
+	target := base + "/tell?" + query.Encode()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader([]byte(cmd.Args().Get(1))))
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
 	r.Header.Set("Authorization", "Bearer "+cmd.String("key"))
-	return http.DefaultClient.Do(r)
+	return client.Do(r)
 }
 
 func outcome(status int, text string) error {
@@ -85,7 +90,7 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusBadGateway:
-		return exit.New(exit.Unknown, text)
+		return tool.New(tool.Unknown, text)
 	}
-	return exit.New(exit.Refused, text)
+	return tool.New(tool.Refused, text)
 }
--- a/cmds/change/try.go
+++ b/cmds/change/try.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"anvilstand/cmds/exit"
+	"anvilstand/cmds/tool"
 	"anvilstand/io/trial"
 )
 
@@ -28,7 +28,7 @@
 func try(ctx context.Context, cmd *cli.Command) error {
 	profile, ok := trial.ProfileOf(cmd.String("profile"))
 	if !ok {
-		return exit.New(exit.Refused, "try: --profile is pilha or sanabil")
+		return tool.New(tool.Refused, "try: --profile is pilha or sanabil")
 	}
 	report, err := trial.Run(ctx, profile, cmd.Float64("seconds"), cmd.Uint64("seed"))
 	if err != nil {
@@ -40,7 +40,7 @@
 		_, err = fmt.Fprint(cmd.Root().Writer, report.Text())
 	}
 	if err == nil && report.Broken() {
-		return exit.New(exit.Refused, "try: a promise was broken")
+		return tool.New(tool.Refused, "try: a promise was broken")
 	}
 	return err
 }
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -13,8 +13,8 @@
 	"github.com/urfave/cli/v3"
 
 	"anvilstand/cmds/change"
-	"anvilstand/cmds/exit"
 	"anvilstand/cmds/query"
+	"anvilstand/cmds/tool"
 )
 
 // Root returns the command line.
@@ -36,12 +36,12 @@
 	defer stop()
 	err := Root().Run(ctx, args)
 	if err == nil {
-		return exit.Accepted
+		return tool.Accepted
 	}
 	fmt.Fprintln(os.Stderr, err)
-	var code *exit.Error
+	var code *tool.Error
 	if errors.As(err, &code) {
 		return code.Code()
 	}
-	return exit.Refused
+	return tool.Refused
 }
--- a/cmds/query/ask.go
+++ b/cmds/query/ask.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"anvilstand/cmds/exit"
+	"anvilstand/cmds/tool"
 )
 
 // Ask sends a query to a daemon.
@@ -27,6 +27,7 @@
 	Flags: []cli.Flag{
 		&cli.BoolFlag{Name: "json", Usage: "print the answer as JSON"},
 		&cli.StringFlag{Name: "key", Usage: "operator `KEY`", Sources: cli.EnvVars("ANVILSTAND_KEY")},
+		tool.AuthorityFlag(),
 	},
 	Action: ask,
 }
@@ -36,16 +37,16 @@
 
 func ask(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 2 {
-		return exit.New(exit.Refused, "ask: expected ADDR 'QUERY'")
+		return tool.New(tool.Refused, "ask: expected ADDR 'QUERY'")
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	status, body, err := get(ctx, cmd)
 	if err != nil {
-		return exit.New(exit.Unknown, fmt.Sprintf("ask %s: %v", cmd.Args().First(), err))
+		return tool.New(tool.Unknown, fmt.Sprintf("ask %s: %v", cmd.Args().First(), err))
 	}
 	if status != http.StatusOK {
-		return exit.New(exit.Refused, strings.TrimSpace(string(body)))
+		return tool.New(tool.Refused, strings.TrimSpace(string(body)))
 	}
 	if cmd.Bool("json") {
 		_, err = cmd.Root().Writer.Write(body)
@@ -57,13 +58,17 @@
 func get(ctx context.Context, cmd *cli.Command) (int, []byte, error) {
 	query := url.Values{}
 	query.Set("q", cmd.Args().Get(1))
-	target := "http://" + cmd.Args().First() + "/ask?" + query.Encode()
+	client, base, err := tool.Client(cmd, cmd.Args().First())
+	if err != nil {
+		return 0, nil, err
+	}
+	target := base + "/ask?" + query.Encode()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "make request")
 	}
 	r.Header.Set("Authorization", "Bearer "+cmd.String("key"))
-	w, err := http.DefaultClient.Do(r)
+	w, err := client.Do(r)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/cmds/query/check.go
+++ b/cmds/query/check.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"anvilstand/cmds/exit"
+	"anvilstand/cmds/tool"
 	"anvilstand/io/prefs"
 )
 
@@ -23,7 +23,7 @@
 
 func check(_ context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
-		return exit.New(exit.Refused, "check: expected FILE")
+		return tool.New(tool.Refused, "check: expected FILE")
 	}
 	text, err := os.ReadFile(cmd.Args().First())
 	if err != nil {
--- a/cmds/exit/exit.go
+++ b/cmds/tool/exit.go
@@ -1,5 +1,6 @@
-// Package exit holds the exit codes of the command line.
-package exit
+// Package tool holds what the subcommands share: exit codes and the client of a
+// daemon's operators.
+package tool
 
 // Exit codes.
 const (
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -29,7 +29,7 @@
 // Daemon is one daemon beside one target.
 type Daemon struct {
 	prefs *prefs.Prefs
-	net   wire.Network
+	peer  wire.Network
 	store store.Store
 	log   hclog.Logger
 	self  fleet.Member
@@ -41,23 +41,49 @@
 
 // New opens the daemon's listeners. An address with port 0 takes any free port.
 func New(p *prefs.Prefs, n wire.Network, s store.Store, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{prefs: p, net: n, store: s, log: log}
-	for _, address := range []string{p.Front(), p.Peer(), p.Oper()} {
-		ln, err := n.Listen(address)
-		if err != nil {
-			d.closeListeners()
-			return nil, errors.Wrapf(err, "listen at %s", address)
-		}
-		d.lns = append(d.lns, ln)
+	d := &Daemon{prefs: p, store: s, log: log}
+	served, mutual, err := secure(p, n)
+	if err != nil {
+		return nil, err
+	}
+	d.peer = mutual
+	if err := d.listen(served, mutual, served); err != nil {
+		return nil, err
 	}
 	m := meter.New()
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
 	d.loop = ctrl.New(d.self)
-	d.front = front.New(p, n, d.loop, m)
+	d.front = front.New(p, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
 	return d, nil
 }
 
+// secure returns the networks of the callers and of the peers.
+func secure(p *prefs.Prefs, n wire.Network) (served, mutual wire.Network, err error) {
+	if !p.Secured() {
+		return n, n, nil
+	}
+	c, err := wire.LoadCertificate(p.Certificate())
+	if err != nil {
+		return nil, nil, err
+	}
+	return wire.Served(n, c), wire.Mutual(n, c), nil
+}
+
+func (d *Daemon) listen(front, peer, oper wire.Network) error {
+	networks := map[string]wire.Network{"front": front, "peer": peer, "oper": oper}
+	addresses := map[string]string{"front": d.prefs.Front(), "peer": d.prefs.Peer(), "oper": d.prefs.Oper()}
+	for _, name := range []string{"front", "peer", "oper"} {
+		ln, err := networks[name].Listen(addresses[name])
+		if err != nil {
+			d.closeListeners()
+			return errors.Wrapf(err, "listen for %s at %s", name, addresses[name])
+		}
+		d.lns = append(d.lns, ln)
+	}
+	return nil
+}
+
 func (d *Daemon) closeListeners() {
 	for _, ln := range d.lns {
 		_ = ln.Close()
@@ -83,7 +109,7 @@
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.lns[i]) })
 	}
-	links := link.New(work, g, d.net, d.self.Name(), d.prefs.Secret(), d.log)
+	links := link.New(work, g, d.peer, d.self.Name(), d.prefs.Secret(), d.log)
 	g.Go(func() error { return d.loop.Run(work, links) })
 	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
 	for _, name := range domains {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -27,8 +27,9 @@
 	target  http.RoundTripper
 }
 
-// New returns the traffic side of a daemon.
-func New(p *prefs.Prefs, n wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
+// New returns the traffic side of a daemon, which reaches the other daemons and
+// its target over a network each.
+func New(p *prefs.Prefs, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
 	c := clock.New()
 	return &Front{
 		prefs:  p,
@@ -38,8 +39,8 @@
 		gate:   gate{clock: c},
 		purse:  purse{clock: c},
 		picker: picker{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		peers:  newTransport(n),
-		target: newTransport(n),
+		peers:  newTransport(peers),
+		target: newTransport(target),
 	}
 }
 
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -36,10 +36,20 @@
 	return strings.Join(lines, "\n")
 }
 
+// join adds faults of fields that have none yet.
+func (all Faults) join(more Faults) Faults {
+	for _, f := range more {
+		if !slices.ContainsFunc(all, func(g Fault) bool { return g.field == f.field }) {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body",
+	"operators", "deadline", "grace", "budget", "body", "cert", "key", "authority",
 }
 
 func unknownFields(text []byte) Faults {
@@ -115,6 +125,8 @@
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
+	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
+	need(whole, "cert", "cert, key and authority are set together or not at all")
 	return faults
 }
 
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -28,6 +28,9 @@
 	grace     time.Duration
 	budget    int
 	maxBody   int64
+	cert      string
+	certKey   string
+	authority string
 }
 
 // Name returns the instance's name.
@@ -72,6 +75,13 @@
 // MaxBody returns the largest request body, in bytes.
 func (p *Prefs) MaxBody() int64 { return p.maxBody }
 
+// Secured reports whether the listeners and links use TLS.
+func (p *Prefs) Secured() bool { return p.cert != "" }
+
+// Certificate returns the PEM files of the certificate, its key and the
+// authority of all the fleet's certificates.
+func (p *Prefs) Certificate() (cert, key, authority string) { return p.cert, p.certKey, p.authority }
+
 // Defaults of the settings that may be left out.
 const (
 	defaultDeadline = 5 * time.Second
@@ -95,9 +105,10 @@
 		Deadline, Grace           *float64
 		Budget                    *int
 		Body                      *int64
+		Cert, Key, Authority      string
 	}
 	if err := json.Unmarshal(plain, &w); err != nil {
-		return nil, append(faults, typeFault(text, err))
+		faults = append(faults, typeFault(text, err))
 	}
 	p := &Prefs{
 		name: model.Instance(w.Name), domain: model.Domain(w.Domain), service: model.Service(w.Service),
@@ -105,8 +116,9 @@
 		operators: w.Operators,
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
+		cert: w.Cert, certKey: w.Key, authority: w.Authority,
 	}
-	if faults = append(faults, p.check(text)...); len(faults) > 0 {
+	if faults = faults.join(p.check(text)); len(faults) > 0 {
 		return nil, faults
 	}
 	return p, nil
--- /dev/null
+++ b/io/wire/secure.go
@@ -0,0 +1,108 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/go-faster/errors"
+)
+
+// Secure puts TLS on the connections of another network.
+type Secure struct {
+	under  Network
+	listen *tls.Config
+	dial   *tls.Config
+}
+
+// Served returns a network whose listeners show a certificate, to clients that
+// need none.
+func Served(under Network, c *Certificate) Secure {
+	return Secure{under: under, listen: c.serverConfig(tls.NoClientCert), dial: c.clientConfig()}
+}
+
+// Mutual returns a network on which both ends show a certificate of the same
+// authority.
+func Mutual(under Network, c *Certificate) Secure {
+	return Secure{under: under, listen: c.serverConfig(tls.RequireAndVerifyClientCert), dial: c.clientConfig()}
+}
+
+// Listen listens at an address.
+func (s Secure) Listen(address string) (net.Listener, error) {
+	ln, err := s.under.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(ln, s.listen), nil
+}
+
+// DialContext connects to an address and checks the certificate of its host.
+func (s Secure) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := s.under.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	host, _, _ := net.SplitHostPort(address)
+	config := s.dial.Clone()
+	config.ServerName = host
+	client := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := client.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "secure connection to %s", address)
+	}
+	return client, nil
+}
+
+// Certificate is a certificate with its key, and the authority that signed it
+// and the peers' ones.
+type Certificate struct {
+	own       tls.Certificate
+	authority *x509.CertPool
+}
+
+// LoadCertificate reads PEM files.
+func LoadCertificate(cert, key, authority string) (*Certificate, error) {
+	own, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, errors.Wrapf(err, "load certificate %s", cert)
+	}
+	pool, err := LoadAuthority(authority)
+	if err != nil {
+		return nil, err
+	}
+	return &Certificate{own: own, authority: pool}, nil
+}
+
+// LoadAuthority reads the certificates of an authority from a PEM file.
+func LoadAuthority(file string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "load authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Errorf("load authority %s: no certificate in it", file)
+	}
+	return pool, nil
+}
+
+func (c *Certificate) serverConfig(auth tls.ClientAuthType) *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{c.own},
+		ClientCAs:    c.authority,
+		ClientAuth:   auth,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+func (c *Certificate) clientConfig() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{c.own},
+		RootCAs:      c.authority,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
--- /dev/null
+++ b/io/wire/secure_test.go
@@ -0,0 +1,121 @@
+package wire_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/io/wire"
+)
+
+// newCertificate writes a self-signed certificate for the loopback address.
+func newCertificate(t *testing.T) *wire.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	form := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "fleet"},
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:         true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, form, form, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert := writePEM(t, "CERTIFICATE", der)
+	c, err := wire.LoadCertificate(cert, writePEM(t, "EC PRIVATE KEY", keyDER), cert)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func writePEM(t *testing.T, kind string, der []byte) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "a.pem")
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func TestSecure(t *testing.T) {
+	fleet, stranger := newCertificate(t), newCertificate(t)
+	cases := map[string]struct {
+		listen wire.Network
+		dial   wire.Network
+		want   string
+	}{
+		"a peer to a peer":     {listen: wire.Mutual(wire.TCP{}, fleet), dial: wire.Mutual(wire.TCP{}, fleet), want: "whole"},
+		"a stranger to a peer": {listen: wire.Mutual(wire.TCP{}, fleet), dial: wire.Mutual(wire.TCP{}, stranger)},
+		"a peer to a stranger": {listen: wire.Mutual(wire.TCP{}, stranger), dial: wire.Mutual(wire.TCP{}, fleet)},
+		"plain to a peer":      {listen: wire.Mutual(wire.TCP{}, fleet), dial: wire.TCP{}},
+		"a caller":             {listen: wire.Served(wire.TCP{}, fleet), dial: wire.Served(wire.TCP{}, fleet), want: "whole"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			ln, err := tc.listen.Listen("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var g errgroup.Group
+			g.Go(func() error { return serveOnce(ln) })
+			if diff := cmp.Diff(tc.want, fetch(tc.dial, ln.Addr().String())); diff != "" {
+				t.Error(diff)
+			}
+			_ = ln.Close()
+			_ = g.Wait()
+		})
+	}
+}
+
+func serveOnce(ln net.Listener) error {
+	conn, err := ln.Accept()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "whole")
+	return err
+}
+
+func fetch(n wire.Network, address string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := n.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ""
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	text, err := io.ReadAll(conn)
+	if err != nil {
+		return ""
+	}
+	if string(text) != "whole" {
+		return ""
+	}
+	return string(text)
+}
