Processes are told apart by incarnation, and a proven end is a command

Cause: a name or an address does not tell a restarted process from its predecessor, and nothing but a timeout spoke of a process that had ended. Change: each process draws an incarnation; members, links and posts carry it. A link compares who answers with who was recorded before the dial, and tells ctrl.Proven on a refused connection or on another process. Timeouts are no evidence. Links that are idle or dialed in vain are given up; the tick has jitter; ctrl.Loop.Offer hands a command over without waiting.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -27,3 +27,22 @@
 func Retire(list []Member, name model.Instance) []Member {
 	return slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.name == name })
 }
+
+// maxDead bounds the memory of processes that have ended. When it is full, the
+// memory starts anew: a process forgotten is found to have ended again.
+const maxDead = 4096
+
+// Bury notes that the process recorded at an address has ended.
+func (r *Roster) Bury(address string, process model.Incarnation) {
+	if process == 0 {
+		return
+	}
+	if r.dead == nil || len(r.dead) >= maxDead {
+		r.dead = map[model.Incarnation]bool{}
+	}
+	for _, list := range r.domains {
+		if m, ok := Recorded(list, address); ok && m.born == process {
+			r.dead[process] = true
+		}
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	service model.Service
 	address string
 	leaving bool
+	born    model.Incarnation
 }
 
 // NewMember returns a member that listens for its peers at address.
@@ -33,6 +34,15 @@
 // Leaving reports whether the member is in its planned stop.
 func (m Member) Leaving() bool { return m.leaving }
 
+// Incarnation returns the process that announced the member.
+func (m Member) Incarnation() model.Incarnation { return m.born }
+
+// WithIncarnation returns the member as announced by a process.
+func (m Member) WithIncarnation(i model.Incarnation) Member {
+	m.born = i
+	return m
+}
+
 // AsLeaving returns the member marked as leaving.
 func (m Member) AsLeaving() Member {
 	m.leaving = true
@@ -43,4 +53,5 @@
 // empty. A Roster is not safe for concurrent use; Members returns a copy.
 type Roster struct {
 	domains map[model.Domain][]Member
+	dead    map[model.Incarnation]bool
 }
--- a/core/fleet/query.go
+++ b/core/fleet/query.go
@@ -18,6 +18,15 @@
 	return all
 }
 
+// Dead reports whether the process that announced a member is proven to have
+// ended.
+func (r *Roster) Dead(m Member) bool { return r.dead[m.born] }
+
+// Living returns the members that are not proven to have ended.
+func (r *Roster) Living() []Member {
+	return slices.DeleteFunc(r.Members(), r.Dead)
+}
+
 // Find returns the member with the given name.
 func (r *Roster) Find(name model.Instance) (Member, bool) {
 	for _, list := range r.domains {
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -16,6 +16,11 @@
 // Instance names a target instance and the daemon beside it.
 type Instance string
 
+// Incarnation is a number that a process of the system draws at its start, so
+// that two processes under one name or address are told apart. Zero is not
+// known.
+type Incarnation uint64
+
 // Revision numbers a change of the configuration. Zero is the empty
 // configuration.
 type Revision uint64
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -25,6 +25,7 @@
 type Post struct {
 	peer    model.Instance
 	message Message
+	from    model.Incarnation
 }
 
 // NewPost returns a message with the daemon it goes to or comes from.
@@ -33,6 +34,16 @@
 // Peer returns the daemon at the other end.
 func (p Post) Peer() model.Instance { return p.peer }
 
+// From returns the process that sent the message. It is zero in a message that
+// has not been sent yet.
+func (p Post) From() model.Incarnation { return p.from }
+
+// WithFrom returns the message as sent by a process.
+func (p Post) WithFrom(i model.Incarnation) Post {
+	p.from = i
+	return p
+}
+
 // Message returns the message.
 func (p Post) Message() Message { return p.message }
 
--- a/io/codec/member.go
+++ b/io/codec/member.go
@@ -12,7 +12,7 @@
 func EncodeMembers(list []fleet.Member) ([]byte, error) {
 	packed := make([]cbor.RawMessage, 0, len(list))
 	for _, m := range list {
-		data, err := pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving())
+		data, err := pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving(), m.Incarnation())
 		if err != nil {
 			return nil, err
 		}
@@ -45,11 +45,12 @@
 		service model.Service
 		address string
 		leaving bool
+		born    model.Incarnation
 	)
-	if err := unpack(data, &name, &domain, &service, &address, &leaving); err != nil {
+	if err := unpack(data, &name, &domain, &service, &address, &leaving, &born); err != nil {
 		return fleet.Member{}, err
 	}
-	m := fleet.NewMember(name, domain, service, address)
+	m := fleet.NewMember(name, domain, service, address).WithIncarnation(born)
 	if leaving {
 		m = m.AsLeaving()
 	}
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -26,12 +26,20 @@
 // Heard brings a message of another daemon.
 type Heard struct{ post peer.Post }
 
+// Proven tells that the process recorded at an address has ended.
+type Proven struct {
+	address  string
+	process  model.Incarnation
+	evidence fleet.Evidence
+}
+
 // Depart begins the planned stop.
 type Depart struct{}
 
 func (Learned) isCommand() {}
 func (Seen) isCommand()    {}
 func (Heard) isCommand()   {}
+func (Proven) isCommand()  {}
 func (Depart) isCommand()  {}
 
 // NewLearned returns the command that brings a change.
@@ -43,6 +51,11 @@
 // NewHeard returns the command that brings a message.
 func NewHeard(p peer.Post) Heard { return Heard{post: p} }
 
+// NewProven returns the command that tells that a process has ended.
+func NewProven(address string, process model.Incarnation, e fleet.Evidence) Proven {
+	return Proven{address: address, process: process, evidence: e}
+}
+
 // ErrGap means that a change does not follow the configuration in force.
 var ErrGap = errors.New("change does not follow the revision in force")
 
@@ -54,6 +67,8 @@
 		l.roster.Replace(c.domain, c.members)
 	case Heard:
 		l.hear(c.post)
+	case Proven:
+		l.proven(c)
 	case Depart:
 		l.self = l.self.AsLeaving()
 	}
@@ -76,6 +91,11 @@
 	return nil
 }
 
+// proven notes that a process has ended.
+func (l *Loop) proven(c Proven) {
+	l.roster.Bury(c.address, c.process)
+}
+
 // hear takes a message of another daemon.
 func (l *Loop) hear(p peer.Post) {
 	switch m := p.Message().(type) {
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -11,8 +12,19 @@
 	"anvilstand/core/peer"
 )
 
-// TickEvery is the time between two ticks of the control state.
-const TickEvery = time.Second
+// Times and bounds of the control state.
+const (
+	// TickEvery is the mean time between two ticks. Each tick comes up to a
+	// quarter earlier or later, so that daemons started together drift apart.
+	TickEvery = time.Second
+	// waiting is how many commands wait for the control goroutine.
+	waiting = 1024
+)
+
+func untilTick() time.Duration {
+	const spread = TickEvery / 2
+	return TickEvery - spread/2 + rand.N(spread)
+}
 
 // Sender takes messages to other daemons. It does not wait.
 type Sender interface {
@@ -38,14 +50,14 @@
 
 // New returns a loop for a daemon. Run starts it.
 func New(self fleet.Member) *Loop {
-	l := &Loop{inbox: make(chan envelope), self: self, config: &conf.Config{}}
+	l := &Loop{inbox: make(chan envelope, waiting), self: self, config: &conf.Config{}}
 	l.publish()
 	return l
 }
 
 // Run takes commands until ctx ends. It is the control goroutine.
 func (l *Loop) Run(ctx context.Context, s Sender) error {
-	t := time.NewTicker(TickEvery)
+	t := time.NewTimer(untilTick())
 	defer t.Stop()
 	for {
 		select {
@@ -54,11 +66,14 @@
 		case e := <-l.inbox:
 			err := l.handle(e.command)
 			l.publish()
-			e.reply <- err
+			if e.reply != nil {
+				e.reply <- err
+			}
 		case <-t.C:
 			var out peer.Outbox
 			l.tick(&out)
 			l.send(s, &out)
+			t.Reset(untilTick())
 		}
 	}
 }
@@ -87,6 +102,17 @@
 	}
 }
 
+// Offer hands a command to the control goroutine without waiting, and reports
+// whether there was room.
+func (l *Loop) Offer(c Command) bool {
+	select {
+	case l.inbox <- envelope{command: c}:
+		return true
+	default:
+		return false
+	}
+}
+
 // View returns the newest snapshot.
 func (l *Loop) View() *View { return l.view.Load() }
 
@@ -96,6 +122,6 @@
 		self:      l.self,
 		config:    l.config,
 		members:   members,
-		byService: fleet.ByService(l.config, members),
+		byService: fleet.ByService(l.config, l.roster.Living()),
 	})
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -51,7 +51,7 @@
 		d.lns = append(d.lns, ln)
 	}
 	m := meter.New()
-	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
+	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
 	d.loop = ctrl.New(d.self)
 	d.front = front.New(p, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
@@ -83,7 +83,7 @@
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.lns[i]) })
 	}
-	links := link.New(work, g, d.net, d.self.Name(), d.prefs.Secret(), d.log)
+	links := link.New(work, g, d.net, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
 	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
 	for _, name := range domains {
@@ -150,7 +150,7 @@
 // messages at /link.
 func (d *Daemon) peers() http.Handler {
 	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	m.Handle("/link", link.Accept(d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
+	m.Handle("/link", link.Accept(d.self.Incarnation(), d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
 		return d.loop.Tell(ctx, ctrl.NewHeard(p))
 	}))
 	m.PathPrefix("/relay").Handler(d.front.Peers())
--- a/io/link/accept.go
+++ b/io/link/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"strconv"
 
 	"github.com/coder/websocket"
 	"github.com/hashicorp/go-hclog"
@@ -19,7 +20,7 @@
 
 // Accept serves the links of other daemons and hands on what they send. A peer
 // that sends what does not decode is cut off.
-func Accept(secret string, log hclog.Logger, take Receiver) http.Handler {
+func Accept(self model.Incarnation, secret string, log hclog.Logger, take Receiver) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		shown := []byte(r.Header.Get("Authorization"))
 		from := r.Header.Get("From")
@@ -27,6 +28,12 @@
 			http.Error(w, "peer is not known", http.StatusUnauthorized)
 			return
 		}
+		born, err := strconv.ParseUint(r.Header.Get(headerIncarnation), 10, 64)
+		if err != nil {
+			http.Error(w, "incarnation is not a number", http.StatusBadRequest)
+			return
+		}
+		w.Header().Set(headerIncarnation, strconv.FormatUint(uint64(self), 10))
 		conn, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			log.Debug("accept link failed", "peer", from, "error", err)
@@ -34,13 +41,15 @@
 		}
 		defer func() { _ = conn.CloseNow() }()
 		conn.SetReadLimit(maxMessage)
-		err = receive(r.Context(), conn, model.Instance(from), take)
+		err = receive(r.Context(), conn, take, func(m peer.Message) peer.Post {
+			return peer.NewPost(model.Instance(from), m).WithFrom(model.Incarnation(born))
+		})
 		log.Debug("link ended", "peer", from, "error", err)
 		_ = conn.Close(websocket.StatusProtocolError, "link ended")
 	})
 }
 
-func receive(ctx context.Context, conn *websocket.Conn, from model.Instance, take Receiver) error {
+func receive(ctx context.Context, conn *websocket.Conn, take Receiver, post func(peer.Message) peer.Post) error {
 	for {
 		_, data, err := conn.Read(ctx)
 		if err != nil {
@@ -50,7 +59,7 @@
 		if err != nil {
 			return err
 		}
-		if err := take(ctx, peer.NewPost(from, m)); err != nil {
+		if err := take(ctx, post(m)); err != nil {
 			return err
 		}
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -13,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
 	"anvilstand/io/codec"
@@ -32,25 +36,43 @@
 	queued = 256
 	// redial is the shortest wait before a link is dialed again.
 	redial = 200 * time.Millisecond
+	// maxQuiet is how many heartbeats a link lives without a message.
+	maxQuiet = 60
+	// maxFailed is how often in a row a link is dialed in vain before it is
+	// given up until the next message.
+	maxFailed = 10
 )
 
+// headerIncarnation names the process at either end of a link.
+const headerIncarnation = "Incarnation"
+
+// Registry is what the links know of the daemons, and whom they tell.
+type Registry interface {
+	// Recorded returns the process recorded at an address, zero if none is.
+	Recorded(address string) model.Incarnation
+	// Ended tells that the process recorded at an address has ended.
+	Ended(address string, process model.Incarnation, e fleet.Evidence)
+}
+
 // Links sends messages to other daemons. Each peer has a queue and a
-// connection of its own, opened when it is first needed.
+// connection of its own, opened when it is first needed and given up when it
+// has been idle.
 type Links struct {
-	self   model.Instance
-	secret string
-	caller *http.Client
-	log    hclog.Logger
-	group  *errgroup.Group
-	ctx    context.Context
-	mu     sync.Mutex
-	open   map[string]chan peer.Message
+	self     fleet.Member
+	secret   string
+	caller   *http.Client
+	log      hclog.Logger
+	registry Registry
+	group    *errgroup.Group
+	ctx      context.Context
+	mu       sync.Mutex
+	open     map[string]chan peer.Message
 }
 
 // New returns links that live until ctx ends, in a group of goroutines.
-func New(ctx context.Context, g *errgroup.Group, n wire.Network, self model.Instance, secret string, log hclog.Logger) *Links {
+func New(ctx context.Context, g *errgroup.Group, n wire.Network, self fleet.Member, secret string, log hclog.Logger, r Registry) *Links {
 	return &Links{
-		self: self, secret: secret, log: log, group: g, ctx: ctx,
+		self: self, secret: secret, log: log, registry: r, group: g, ctx: ctx,
 		caller: &http.Client{Transport: &http.Transport{DialContext: n.DialContext}},
 		open:   map[string]chan peer.Message{},
 	}
@@ -59,15 +81,6 @@
 // Send queues a message for the daemon at an address, as host:port, and
 // reports whether there was room. It does not wait.
 func (l *Links) Send(address string, m peer.Message) bool {
-	select {
-	case l.queue(address) <- m:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *Links) queue(address string) chan peer.Message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q, ok := l.open[address]
@@ -79,42 +92,81 @@
 			return nil
 		})
 	}
-	return q
+	select {
+	case q <- m:
+		return true
+	default:
+		return false
+	}
 }
 
+// retire forgets an idle link, unless a message has come meanwhile.
+func (l *Links) retire(address string, q chan peer.Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(q) > 0 {
+		return false
+	}
+	delete(l.open, address)
+	return true
+}
+
+// errIdle ends a link that has nothing to send.
+var errIdle = errors.New("link is idle")
+
 // keep holds a connection to an address, and dials again when it fails.
 func (l *Links) keep(address string, q chan peer.Message) {
-	for l.ctx.Err() == nil {
-		if err := l.run(address, q); err != nil && l.ctx.Err() == nil {
-			l.log.Debug("link failed", "peer", address, "error", err)
-			rest(l.ctx, redial)
+	for failed := 0; l.ctx.Err() == nil; {
+		err := l.run(address, q)
+		switch {
+		case l.ctx.Err() != nil:
+			return
+		case errors.Is(err, errIdle) || failed >= maxFailed:
+			if l.retire(address, q) {
+				return
+			}
+			failed = 0
+		case errors.Is(err, errDial):
+			failed++
+			l.drop(q)
+		default:
+			failed = 0
 		}
+		l.log.Debug("link failed", "peer", address, "error", err)
+		rest(l.ctx, redial+rand.N(redial))
+	}
+}
+
+// drop loses the messages that wait, as they are too old once a daemon that
+// did not answer does.
+func (l *Links) drop(q chan peer.Message) {
+	for range len(q) {
+		<-q
 	}
 }
 
 func (l *Links) run(address string, q chan peer.Message) error {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
-	header := http.Header{}
-	header.Set("Authorization", "Bearer "+l.secret)
-	header.Set("From", string(l.self))
-	dial, stop := context.WithTimeout(ctx, silence)
-	defer stop()
-	conn, _, err := websocket.Dial(dial, "ws://"+address+"/link", &websocket.DialOptions{HTTPHeader: header, HTTPClient: l.caller})
+	conn, err := l.dial(ctx, address)
 	if err != nil {
-		return errors.Wrapf(err, "dial %s", address)
+		return err
 	}
 	defer func() { _ = conn.CloseNow() }()
 	ctx = conn.CloseRead(ctx)
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
-	for {
+	for quiet := 0; ; {
 		select {
 		case <-ctx.Done():
 			return errors.Errorf("link to %s closed", address)
 		case <-beat.C:
+			if quiet++; quiet > maxQuiet {
+				return errIdle
+			}
 			err = ping(ctx, conn)
 		case m := <-q:
+			quiet = 0
 			err = write(ctx, conn, m)
 		}
 		if err != nil {
@@ -123,6 +175,36 @@
 	}
 }
 
+// errDial means that a link could not be opened.
+var errDial = errors.New("dial failed")
+
+// dial opens a connection and compares who answers with who is recorded.
+func (l *Links) dial(ctx context.Context, address string) (*websocket.Conn, error) {
+	recorded := l.registry.Recorded(address)
+	header := http.Header{}
+	header.Set("Authorization", "Bearer "+l.secret)
+	header.Set("From", string(l.self.Name()))
+	header.Set(headerIncarnation, strconv.FormatUint(uint64(l.self.Incarnation()), 10))
+	dial, stop := context.WithTimeout(ctx, silence)
+	defer stop()
+	conn, w, err := websocket.Dial(dial, "ws://"+address+"/link", &websocket.DialOptions{HTTPHeader: header, HTTPClient: l.caller})
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) && recorded != 0 {
+			l.registry.Ended(address, recorded, fleet.Refused{})
+		}
+		return nil, errors.Wrapf(errDial, "dial %s: %v", address, err)
+	}
+	born, err := strconv.ParseUint(w.Header.Get(headerIncarnation), 10, 64)
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, errors.Wrapf(errDial, "dial %s: no incarnation", address)
+	}
+	if by := model.Incarnation(born); recorded != 0 && by != recorded {
+		l.registry.Ended(address, recorded, fleet.NewReplaced(by))
+	}
+	return conn, nil
+}
+
 func ping(ctx context.Context, conn *websocket.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
