A tree spreads the configuration and the membership; watchers follow the store

Cause: every daemon held watches and wrote the record of its domain, which does not fit the store's budget, and a process started without the store knew nothing. Change: core/spread is the state machine of one daemon: the first two members of a domain in rendezvous order are watchers, the others are fed by a tree of fan-out 32, heartbeats carry revision and roster digest, and who is behind pulls. io/watch follows the store by role. Bases every 256 revisions. Members are recorded by name and incarnation. tell knows undo, expected revisions and repeated operations; faults that may hold a key do not show it. A committed entry that does not apply is a revision without effect, and a corrupt value is replaced by the next command, so the line cannot get stuck.

--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -10,7 +10,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
-	"anvilstand/core/model"
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
 	"anvilstand/io/store"
@@ -43,5 +42,5 @@
 	if err != nil {
 		return err
 	}
-	return d.Run(ctx, []model.Domain{p.Domain()})
+	return d.Run(ctx)
 }
--- a/core/change/apply.go
+++ b/core/change/apply.go
@@ -29,7 +29,7 @@
 	d := conf.Edit(c)
 	for i, ch := range batch {
 		if err := applyOne(d, ch); err != nil {
-			return nil, errors.Wrapf(err, "apply change %d (%s)", i+1, Format(ch))
+			return nil, errors.Wrapf(err, "apply change %d (%s)", i+1, showOne(ch))
 		}
 	}
 	return d.Commit(rev), nil
--- a/core/change/format.go
+++ b/core/change/format.go
@@ -50,7 +50,10 @@
 
 func formatAddOrg(name model.Org, o conf.Org) string {
 	s := fmt.Sprintf("add org %s rate %s burst %s rank %d", name, number(o.Rate()), number(o.Burst()), o.Rank())
-	return s + formatIsolated(o.Isolated())
+	if _, deny := o.Isolated().(conf.Deny); deny {
+		s += formatIsolated(o.Isolated())
+	}
+	return s
 }
 
 func formatSetOrg(ch SetOrg) string {
--- a/core/change/parse.go
+++ b/core/change/parse.go
@@ -14,8 +14,17 @@
 	MaxBurst = 1e7 // requests
 )
 
-// Parse reads a batch of changes. An error is a *lang.Fault.
+// Parse reads a batch of at least one change. An error is a *lang.Fault.
 func Parse(text string) ([]Change, error) {
+	batch, err := ParseBase(text)
+	if err == nil && len(batch) == 0 {
+		return nil, lang.Expected(lang.Word{}, "a command")
+	}
+	return batch, err
+}
+
+// ParseBase reads a batch that may be empty. An error is a *lang.Fault.
+func ParseBase(text string) ([]Change, error) {
 	statements, err := lang.Split(text)
 	if err != nil {
 		return nil, err
@@ -31,9 +40,6 @@
 		}
 		batch = append(batch, ch)
 	}
-	if len(batch) == 0 {
-		return nil, lang.Expected(lang.Word{}, "a command")
-	}
 	return batch, nil
 }
 
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -45,14 +45,14 @@
 // that it does not name is in service.
 func (c *Config) Domain(name model.Domain) Domain { return c.domains[name] }
 
-// Domains returns the names of the failure domains that it says something of.
+// Domains returns the names of the failure domains that are out of service.
 func (c *Config) Domains() []model.Domain { return slices.Sorted(maps.Keys(c.domains)) }
 
 // Target returns what the configuration says of a target. A target that it
 // does not name is in service.
 func (c *Config) Target(name model.Instance) Target { return c.targets[name] }
 
-// Targets returns the names of the targets that it says something of.
+// Targets returns the names of the targets that are out of service.
 func (c *Config) Targets() []model.Instance { return slices.Sorted(maps.Keys(c.targets)) }
 
 // Holder returns the organisation that holds a key.
@@ -83,7 +83,12 @@
 func (o Org) Keys() []Digest { return slices.Clone(o.keys) }
 
 // Isolated returns what a cut-off failure domain does for the organisation.
-func (o Org) Isolated() Isolated { return o.isolated }
+func (o Org) Isolated() Isolated {
+	if o.isolated == nil {
+		return Serve{}
+	}
+	return o.isolated
+}
 
 // WithRate returns the organisation with another rate and burst.
 func (o Org) WithRate(rate, burst float64) Org {
--- a/core/conf/edit.go
+++ b/core/conf/edit.go
@@ -89,7 +89,7 @@
 // and prefix.
 func (d *Draft) PutRoute(name model.Service, r Route) {
 	s := d.next.services[name]
-	routes := slices.DeleteFunc(slices.Clone(s.routes), r.same)
+	routes := slices.DeleteFunc(slices.Clone(s.routes), r.Same)
 	routes = append(routes, r)
 	slices.SortStableFunc(routes, byPrefix)
 	d.next.services[name] = Service{routes: routes}
@@ -98,7 +98,7 @@
 // DropRoute removes a route from a service.
 func (d *Draft) DropRoute(name model.Service, r Route) {
 	s := d.next.services[name]
-	d.next.services[name] = Service{routes: slices.DeleteFunc(slices.Clone(s.routes), r.same)}
+	d.next.services[name] = Service{routes: slices.DeleteFunc(slices.Clone(s.routes), r.Same)}
 }
 
 func byPrefix(a, b Route) int {
@@ -109,7 +109,17 @@
 }
 
 // SetDomain takes a failure domain out of service or brings it back.
-func (d *Draft) SetDomain(name model.Domain, out bool) { d.next.domains[name] = Domain{out: out} }
+func (d *Draft) SetDomain(name model.Domain, out bool) {
+	delete(d.next.domains, name)
+	if out {
+		d.next.domains[name] = Domain{out: true}
+	}
+}
 
 // SetTarget takes a target out of service or brings it back.
-func (d *Draft) SetTarget(name model.Instance, out bool) { d.next.targets[name] = Target{out: out} }
+func (d *Draft) SetTarget(name model.Instance, out bool) {
+	delete(d.next.targets, name)
+	if out {
+		d.next.targets[name] = Target{out: true}
+	}
+}
--- a/core/conf/route.go
+++ b/core/conf/route.go
@@ -52,7 +52,8 @@
 	return r
 }
 
-func (r Route) same(s Route) bool { return r.method == s.method && r.prefix == s.prefix }
+// Same reports whether two routes have the same method and prefix.
+func (r Route) Same(s Route) bool { return r.method == s.method && r.prefix == s.prefix }
 
 func (r Route) matches(method, path string) bool {
 	if r.method != method || !strings.HasPrefix(path, r.prefix) {
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -1,48 +1,72 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 
 	"anvilstand/core/model"
 )
 
-// Replace sets the members of one failure domain.
-func (r *Roster) Replace(domain model.Domain, members []Member) {
-	if r.domains == nil {
-		r.domains = map[model.Domain][]Member{}
+// Replace sets the roll of one failure domain, unless a later one is known.
+func (r *Roster) Replace(roll Roll) {
+	old := r.rolls[roll.domain]
+	if roll.version <= old.version {
+		return
+	}
+	if r.rolls == nil {
+		r.rolls = map[model.Domain]Roll{}
+		r.names = map[model.Instance]Member{}
 	}
-	r.domains[domain] = slices.Clone(members)
+	for _, m := range old.members {
+		if r.names[m.name].domain == roll.domain {
+			delete(r.names, m.name)
+		}
+	}
+	for _, m := range roll.members {
+		if !r.dead[m.born] {
+			r.names[m.name] = m
+		}
+	}
+	r.rolls[roll.domain] = roll
+	r.count++
+	delete(r.order, roll.domain)
 }
 
-// Announce adds a member to a list or replaces the one with its name.
+// Announce adds a member to a list. It takes the place of what its process
+// announced before, and of an earlier process at its address.
 func Announce(list []Member, m Member) []Member {
-	list = Retire(list, m.name)
-	list = append(list, m)
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
-	return list
+	list = slices.DeleteFunc(slices.Clone(list), func(o Member) bool {
+		return o.name == m.name && (o.born == m.born || o.address == m.address)
+	})
+	return append(list, m)
 }
 
-// Retire removes a member from a list.
-func Retire(list []Member, name model.Instance) []Member {
-	return slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.name == name })
+// Retire removes the process that announced a member from a list.
+func Retire(list []Member, m Member) []Member {
+	return slices.DeleteFunc(slices.Clone(list), func(o Member) bool { return byName(o, m) == 0 })
 }
 
 // maxDead bounds the memory of processes that have ended. When it is full, the
 // memory starts anew: a process forgotten is found to have ended again.
 const maxDead = 4096
 
-// Bury notes that the process recorded at an address has ended.
-func (r *Roster) Bury(address string, process model.Incarnation) {
-	if process == 0 {
-		return
+// Bury notes that the process recorded at an address has ended, and reports
+// whether that is news.
+func (r *Roster) Bury(address string, process model.Incarnation) (Member, bool) {
+	if process == 0 || r.dead[process] {
+		return Member{}, false
 	}
-	if r.dead == nil || len(r.dead) >= maxDead {
-		r.dead = map[model.Incarnation]bool{}
-	}
-	for _, list := range r.domains {
-		if m, ok := Recorded(list, address); ok && m.born == process {
-			r.dead[process] = true
+	for _, roll := range r.rolls {
+		m, ok := Recorded(roll.members, address)
+		if !ok || m.born != process {
+			continue
+		}
+		if r.dead == nil || len(r.dead) >= maxDead {
+			r.dead = map[model.Incarnation]bool{}
 		}
+		r.dead[process] = true
+		r.count++
+		delete(r.order, m.domain)
+		return m, true
 	}
+	return Member{}, false
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -49,9 +49,12 @@
 	return m
 }
 
-// Roster is the set of members known, by failure domain. The zero value is
-// empty. A Roster is not safe for concurrent use; Members returns a copy.
+// Roster is the set of members known, a roll a failure domain. The zero value
+// is empty. A Roster is not safe for concurrent use; Members returns a copy.
 type Roster struct {
-	domains map[model.Domain][]Member
-	dead    map[model.Incarnation]bool
+	rolls map[model.Domain]Roll
+	names map[model.Instance]Member
+	dead  map[model.Incarnation]bool
+	order map[model.Domain][]Member
+	count uint64
 }
--- a/core/lang/lang.go
+++ b/core/lang/lang.go
@@ -18,6 +18,14 @@
 	column int
 	want   string
 	got    string
+	silent bool
+}
+
+// Silent returns the fault without the word that stands at its place.
+func (f *Fault) Silent() *Fault {
+	silent := *f
+	silent.silent = true
+	return &silent
 }
 
 // Line returns the line of the fault, from 1.
@@ -32,7 +40,10 @@
 // Error returns the place, the expectation and what stands there.
 func (f *Fault) Error() string {
 	got := strconv.Quote(f.got)
-	if f.got == "" {
+	switch {
+	case f.silent:
+		got = "a word not shown, as it may be a key"
+	case f.got == "":
 		got = "the end"
 	}
 	return fmt.Sprintf("line %d, column %d: expected %s, found %s", f.line, f.column, f.want, got)
@@ -69,8 +80,11 @@
 }
 
 func splitLine(line string, n int) []*Reader {
-	if i := strings.IndexByte(line, '#'); i >= 0 {
-		line = line[:i]
+	for i := range len(line) {
+		if line[i] == '#' && (i == 0 || isSpace(line[i-1])) {
+			line = line[:i]
+			break
+		}
 	}
 	var all []*Reader
 	start := 0
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -10,20 +10,10 @@
 //sumtype:decl
 type Message interface{ isMessage() }
 
-// Beat is a heartbeat: the sender lives, and has a revision in force.
-type Beat struct{ revision model.Revision }
-
-func (Beat) isMessage() {}
-
-// NewBeat returns a heartbeat.
-func NewBeat(rev model.Revision) Beat { return Beat{revision: rev} }
-
-// Revision returns the revision in force at the sender.
-func (b Beat) Revision() model.Revision { return b.revision }
-
 // Post is a message on its way to a daemon, or from one.
 type Post struct {
 	peer    model.Instance
+	address string
 	message Message
 	from    model.Incarnation
 }
@@ -34,6 +24,16 @@
 // Peer returns the daemon at the other end.
 func (p Post) Peer() model.Instance { return p.peer }
 
+// Address returns where the daemon at the other end listens for its peers. It
+// is empty when the membership tells it.
+func (p Post) Address() string { return p.address }
+
+// WithAddress returns the message with the other daemon's address.
+func (p Post) WithAddress(address string) Post {
+	p.address = address
+	return p
+}
+
 // From returns the process that sent the message. It is zero in a message that
 // has not been sent yet.
 func (p Post) From() model.Incarnation { return p.from }
@@ -53,5 +53,15 @@
 // Add appends a message to a daemon.
 func (o *Outbox) Add(to model.Instance, m Message) { o.posts = append(o.posts, NewPost(to, m)) }
 
+// AddAt appends a message to the daemon at an address.
+func (o *Outbox) AddAt(address string, m Message) {
+	o.posts = append(o.posts, NewPost("", m).WithAddress(address))
+}
+
+// Answer appends a message to the sender of a post.
+func (o *Outbox) Answer(p Post, m Message) {
+	o.posts = append(o.posts, NewPost(p.peer, m).WithAddress(p.address))
+}
+
 // Posts returns the messages in order.
 func (o *Outbox) Posts() []Post { return o.posts }
--- a/io/codec/member.go
+++ b/io/codec/member.go
@@ -5,20 +5,33 @@
 	"github.com/go-faster/errors"
 
 	"anvilstand/core/fleet"
+	"anvilstand/core/lang"
 	"anvilstand/core/model"
 )
 
 // EncodeMembers encodes the members of a failure domain.
 func EncodeMembers(list []fleet.Member) ([]byte, error) {
+	packed, err := packMembers(list)
+	if err != nil {
+		return nil, err
+	}
+	return seal(packed)
+}
+
+func packMembers(list []fleet.Member) ([]cbor.RawMessage, error) {
 	packed := make([]cbor.RawMessage, 0, len(list))
 	for _, m := range list {
-		data, err := pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving(), m.Incarnation())
+		data, err := packMember(m)
 		if err != nil {
 			return nil, err
 		}
 		packed = append(packed, data)
 	}
-	return seal(packed)
+	return packed, nil
+}
+
+func packMember(m fleet.Member) ([]byte, error) {
+	return pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving(), m.Incarnation())
 }
 
 // DecodeMembers decodes the members of a failure domain.
@@ -27,9 +40,13 @@
 	if err := open(data, &packed); err != nil {
 		return nil, errors.Wrap(err, "decode members")
 	}
+	return unpackMembers(packed)
+}
+
+func unpackMembers(packed []cbor.RawMessage) ([]fleet.Member, error) {
 	list := make([]fleet.Member, 0, len(packed))
 	for i, p := range packed {
-		m, err := decodeMember(p)
+		m, err := unpackMember(p)
 		if err != nil {
 			return nil, errors.Wrapf(err, "decode member %d", i+1)
 		}
@@ -38,7 +55,7 @@
 	return list, nil
 }
 
-func decodeMember(data []byte) (fleet.Member, error) {
+func unpackMember(data []byte) (fleet.Member, error) {
 	var (
 		name    model.Instance
 		domain  model.Domain
@@ -50,6 +67,9 @@
 	if err := unpack(data, &name, &domain, &service, &address, &leaving, &born); err != nil {
 		return fleet.Member{}, err
 	}
+	if !lang.IsName(string(name)) || !lang.IsName(string(domain)) || !lang.IsName(string(service)) {
+		return fleet.Member{}, errors.Wrap(ErrForm, "name of a member")
+	}
 	m := fleet.NewMember(name, domain, service, address).WithIncarnation(born)
 	if leaving {
 		m = m.AsLeaving()
--- a/io/codec/message.go
+++ b/io/codec/message.go
@@ -4,23 +4,30 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
-	"anvilstand/core/model"
 	"anvilstand/core/peer"
 )
 
-// kind numbers a form of message between daemons.
+// kind numbers a form of message between daemons. A number is never used again
+// for another form.
 type kind uint8
 
-// Kinds of messages. A number is never used again for another form.
-const (
-	kindBeat kind = 1
-)
-
 // EncodeMessage encodes a control message.
 func EncodeMessage(m peer.Message) ([]byte, error) {
 	switch m := m.(type) {
 	case peer.Beat:
-		return sealKind(kindBeat, m.Revision())
+		return encodeBeat(m)
+	case peer.Want:
+		return sealKind(kindWant, m.Revision(), m.Versions())
+	case peer.Push:
+		return encodePush(m)
+	case peer.Piece:
+		return sealKind(kindPiece, m.Revision(), m.Index(), m.Count(), m.Data())
+	case peer.Roll:
+		return encodeRoll(m.Step())
+	case peer.Announce:
+		return encodeAnnounce(m.Member())
+	case peer.Gone:
+		return encodeGone(m)
 	}
 	return nil, errors.Wrap(ErrForm, "encode message")
 }
@@ -44,9 +51,19 @@
 func decodeBody(k kind, body []byte) (peer.Message, error) {
 	switch k {
 	case kindBeat:
-		var rev model.Revision
-		err := unpack(body, &rev)
-		return peer.NewBeat(rev), err
+		return decodeBeat(body)
+	case kindWant:
+		return decodeWant(body)
+	case kindPush:
+		return decodePush(body)
+	case kindPiece:
+		return decodePiece(body)
+	case kindRoll:
+		return decodeRoll(body)
+	case kindAnnounce:
+		return decodeAnnounce(body)
+	case kindGone:
+		return decodeGone(body)
 	}
 	return nil, errors.Wrap(ErrForm, "kind is not known")
 }
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -1,8 +1,6 @@
 package ctrl
 
 import (
-	"github.com/go-faster/errors"
-
 	"anvilstand/core/change"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
@@ -17,11 +15,20 @@
 // Learned brings a committed change of the configuration.
 type Learned struct{ entry change.Entry }
 
-// Seen brings the members of a failure domain.
-type Seen struct {
-	domain  model.Domain
-	members []fleet.Member
-}
+// Based brings a whole configuration.
+type Based struct{ base change.Base }
+
+// Seen brings the record of a failure domain's members.
+type Seen struct{ roll fleet.Roll }
+
+// Reached tells that the store answered.
+type Reached struct{}
+
+// Refused tells that a value in the store does not read.
+type Refused struct{}
+
+// Written tells the revision of the newest base in the store.
+type Written struct{ revision model.Revision }
 
 // Heard brings a message of another daemon.
 type Heard struct{ post peer.Post }
@@ -37,7 +44,11 @@
 type Depart struct{}
 
 func (Learned) isCommand() {}
+func (Based) isCommand()   {}
 func (Seen) isCommand()    {}
+func (Reached) isCommand() {}
+func (Refused) isCommand() {}
+func (Written) isCommand() {}
 func (Heard) isCommand()   {}
 func (Proven) isCommand()  {}
 func (Depart) isCommand()  {}
@@ -45,8 +56,14 @@
 // NewLearned returns the command that brings a change.
 func NewLearned(e change.Entry) Learned { return Learned{entry: e} }
 
-// NewSeen returns the command that brings the members of a domain.
-func NewSeen(d model.Domain, members []fleet.Member) Seen { return Seen{domain: d, members: members} }
+// NewBased returns the command that brings a whole configuration.
+func NewBased(b change.Base) Based { return Based{base: b} }
+
+// NewSeen returns the command that brings a record of members.
+func NewSeen(r fleet.Roll) Seen { return Seen{roll: r} }
+
+// NewWritten returns the command that tells the newest base.
+func NewWritten(rev model.Revision) Written { return Written{revision: rev} }
 
 // NewHeard returns the command that brings a message.
 func NewHeard(p peer.Post) Heard { return Heard{post: p} }
@@ -56,62 +73,38 @@
 	return Proven{address: address, process: process, evidence: e}
 }
 
-// ErrGap means that a change does not follow the configuration in force.
-var ErrGap = errors.New("change does not follow the revision in force")
-
-func (l *Loop) handle(c Command) error {
+// handle takes a command. What it has to tell other daemons goes to out.
+func (l *Loop) handle(now model.Instant, c Command, out *peer.Outbox) error {
 	switch c := c.(type) {
 	case Learned:
-		return l.learn(c.entry)
+		return l.node.Learn(now, c.entry, out)
+	case Based:
+		return l.node.LearnBase(c.base)
 	case Seen:
-		l.roster.Replace(c.domain, c.members)
+		l.node.See(now, c.roll, out)
+	case Reached:
+		l.node.Reached(now)
+	case Refused:
+		l.refused++
+	case Written:
+		l.written = max(l.written, c.revision)
 	case Heard:
-		l.hear(c.post)
+		return l.hear(now, c.post, out)
 	case Proven:
-		l.proven(c)
+		l.node.Prove(now, c.address, c.process, out)
 	case Depart:
-		l.self = l.self.AsLeaving()
+		l.node.Depart(now, out)
 	}
 	return nil
 }
 
-func (l *Loop) learn(e change.Entry) error {
-	now := l.config.Revision()
-	if e.Revision() <= now {
-		return nil
-	}
-	if e.Revision() != now+1 {
-		return errors.Wrapf(ErrGap, "revision %d after %d", e.Revision(), now)
-	}
-	next, err := change.Apply(l.config, e.Batch(), e.Revision())
-	if err != nil {
-		return errors.Wrapf(err, "learn revision %d", e.Revision())
-	}
-	l.config = next
-	return nil
-}
-
-// proven notes that a process has ended.
-func (l *Loop) proven(c Proven) {
-	l.roster.Bury(c.address, c.process)
-}
-
 // hear takes a message of another daemon.
-func (l *Loop) hear(p peer.Post) {
-	switch m := p.Message().(type) {
-	case peer.Beat:
-		if l.heard == nil {
-			l.heard = map[model.Instance]model.Revision{}
-		}
-		l.heard[p.Peer()] = m.Revision()
-	}
+func (l *Loop) hear(now model.Instant, p peer.Post, out *peer.Outbox) error {
+	_, err := l.node.Hear(now, p, out)
+	return err
 }
 
 // tick does what is due.
-func (l *Loop) tick(out *peer.Outbox) {
-	for _, m := range l.roster.Members() {
-		if m.Domain() == l.self.Domain() && m.Name() != l.self.Name() {
-			out.Add(m.Name(), peer.NewBeat(l.config.Revision()))
-		}
-	}
+func (l *Loop) tick(now model.Instant, out *peer.Outbox) {
+	l.node.Tick(now, out)
 }
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -10,6 +10,8 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/core/spread"
+	"anvilstand/io/clock"
 )
 
 // Times and bounds of the control state.
@@ -37,10 +39,14 @@
 type Loop struct {
 	inbox  chan envelope
 	view   atomic.Pointer[View]
-	self   fleet.Member
-	config *conf.Config
-	roster fleet.Roster
-	heard  map[model.Instance]model.Revision
+	change chan struct{}
+	clock  clock.Clock
+	node   *spread.Node
+	routes routes
+	// refused counts the values of the store that do not read.
+	refused uint64
+	// written is the revision of the newest base known to be in the store.
+	written model.Revision
 }
 
 type envelope struct {
@@ -48,39 +54,48 @@
 	reply   chan error
 }
 
-// New returns a loop for a daemon. Run starts it.
-func New(self fleet.Member) *Loop {
-	l := &Loop{inbox: make(chan envelope, waiting), self: self, config: &conf.Config{}}
-	l.publish()
+// New returns a loop for a daemon. Run starts it. Seeds are addresses of other
+// daemons to ask while no member is known.
+func New(self fleet.Member, p spread.Packer, seeds []string) *Loop {
+	l := &Loop{
+		inbox: make(chan envelope, waiting), change: make(chan struct{}),
+		clock: clock.New(), node: spread.New(self, p, seeds),
+	}
+	l.publish(l.clock.Now())
 	return l
 }
 
 // Run takes commands until ctx ends. It is the control goroutine.
 func (l *Loop) Run(ctx context.Context, s Sender) error {
-	t := time.NewTimer(untilTick())
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
+		var out peer.Outbox
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-l.inbox:
-			err := l.handle(e.command)
-			l.publish()
+			now := l.clock.Now()
+			err := l.handle(now, e.command, &out)
+			l.publish(now)
 			if e.reply != nil {
 				e.reply <- err
 			}
 		case <-t.C:
-			var out peer.Outbox
-			l.tick(&out)
-			l.send(s, &out)
+			now := l.clock.Now()
+			l.tick(now, &out)
+			l.publish(now)
 			t.Reset(untilTick())
 		}
+		l.send(s, &out)
 	}
 }
 
 func (l *Loop) send(s Sender, out *peer.Outbox) {
 	for _, p := range out.Posts() {
-		if m, ok := l.roster.Find(p.Peer()); ok {
+		if p.Address() != "" {
+			s.Send(p.Address(), p.Message())
+		} else if m, ok := l.node.Roster().Find(p.Peer()); ok {
 			s.Send(m.Address(), p.Message())
 		}
 	}
@@ -116,12 +131,46 @@
 // View returns the newest snapshot.
 func (l *Loop) View() *View { return l.view.Load() }
 
-func (l *Loop) publish() {
-	members := l.roster.Members()
-	l.view.Store(&View{
-		self:      l.self,
-		config:    l.config,
-		members:   members,
-		byService: fleet.ByService(l.config, l.roster.Living()),
-	})
+// Await waits until a snapshot is as asked, or ctx ends.
+func (l *Loop) Await(ctx context.Context, ok func(*View) bool) error {
+	for {
+		v := l.View()
+		if ok(v) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-v.changed:
+		}
+	}
+}
+
+// routes are the members as the traffic reads them, made anew only when the
+// configuration or the membership has changed.
+type routes struct {
+	config    *conf.Config
+	roster    uint64
+	members   []fleet.Member
+	byService map[model.Service][]fleet.Member
+}
+
+func (l *Loop) route() routes {
+	config, roster := l.node.Config(), l.node.Roster()
+	if l.routes.byService != nil && l.routes.config == config && l.routes.roster == roster.Changes() {
+		return l.routes
+	}
+	return routes{
+		config: config, roster: roster.Changes(),
+		members: roster.Members(), byService: fleet.ByService(config, roster.Living()),
+	}
+}
+
+// publish puts a new snapshot in place and wakes those who wait for one.
+func (l *Loop) publish(now model.Instant) {
+	l.routes = l.route()
+	old := l.view.Swap(l.snapshot(now))
+	if old != nil {
+		close(old.changed)
+	}
 }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -4,27 +4,120 @@
 package ctrl
 
 import (
+	"time"
+
+	"anvilstand/core/change"
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/spread"
+	"anvilstand/io/clock"
 )
 
 // View is a snapshot of the control state. It is never changed.
 type View struct {
-	self      fleet.Member
-	config    *conf.Config
-	members   []fleet.Member
-	byService map[model.Service][]fleet.Member
+	changed  chan struct{}
+	clock    clock.Clock
+	when     model.Instant
+	self     fleet.Member
+	routes   routes
+	entries  []change.Entry
+	domains  []model.Domain
+	heard    map[model.Domain]spread.Heard
+	rolls    map[model.Domain]uint64
+	outside  model.Instant
+	rank     int
+	watching bool
+	record   fleet.Roll
+	stale    bool
+	faults   uint64
+	written  model.Revision
+}
+
+func (l *Loop) snapshot(now model.Instant) *View {
+	n := l.node
+	v := &View{
+		changed: make(chan struct{}), clock: l.clock, when: now, self: n.Self(), routes: l.routes,
+		entries: n.Entries(), domains: n.Roster().Domains(),
+		outside: now.Add(-n.Outside(now)), faults: n.Faults() + l.refused, written: l.written,
+		heard: map[model.Domain]spread.Heard{}, rolls: map[model.Domain]uint64{},
+	}
+	for _, d := range v.domains {
+		v.rolls[d] = n.Roster().Roll(d).Version()
+		if h, ok := n.Heard(d); ok {
+			v.heard[d] = h
+		}
+	}
+	v.rank, v.watching = n.Rank(now)
+	v.record, v.stale = n.Record(now)
+	return v
 }
 
 // Self returns this daemon's own member.
 func (v *View) Self() fleet.Member { return v.self }
 
 // Config returns the configuration in force here.
-func (v *View) Config() *conf.Config { return v.config }
+func (v *View) Config() *conf.Config { return v.routes.config }
+
+// Entries returns the newest changes that led to the configuration, the oldest
+// first.
+func (v *View) Entries() []change.Entry { return v.entries }
 
 // Members returns all daemons known.
-func (v *View) Members() []fleet.Member { return v.members }
+func (v *View) Members() []fleet.Member { return v.routes.members }
 
 // Serving returns the daemons of a service that take new work.
-func (v *View) Serving(s model.Service) []fleet.Member { return v.byService[s] }
+func (v *View) Serving(s model.Service) []fleet.Member { return v.routes.byService[s] }
+
+// Domains returns the failure domains that have members.
+func (v *View) Domains() []model.Domain { return v.domains }
+
+// Version returns the version of a failure domain's record that is known here.
+func (v *View) Version(d model.Domain) uint64 { return v.rolls[d] }
+
+// Watching returns the daemon's place among the watchers of its failure domain,
+// and whether it is one.
+func (v *View) Watching() (int, bool) { return v.rank, v.watching }
+
+// Record returns what the record of the own failure domain should be, and
+// whether it must be written.
+func (v *View) Record() (fleet.Roll, bool) { return v.record, v.stale }
+
+// Faults returns how many changes and records were refused.
+func (v *View) Faults() uint64 { return v.faults }
+
+// Outside returns how long ago the failure domain heard from the store or from
+// another domain.
+func (v *View) Outside() time.Duration { return v.clock.Now().Sub(v.outside) }
+
+// Heard returns how long ago another failure domain was heard here, and the
+// revision it then had.
+func (v *View) Heard(d model.Domain) (time.Duration, model.Revision, bool) {
+	h, ok := v.heard[d]
+	return v.clock.Now().Sub(h.When()), h.Revision(), ok
+}
+
+// Base returns the configuration as a base.
+func (v *View) Base() change.Base {
+	tail := v.entries[max(0, len(v.entries)-change.MaxTail):]
+	return change.NewBase(v.Config().Revision(), change.Describe(v.Config()), tail)
+}
+
+// Written returns the revision of the newest base known to be in the store.
+func (v *View) Written() model.Revision { return v.written }
+
+// Isolated reports whether an organisation is to be refused because the failure
+// domain has been cut off for longer than limit.
+func (v *View) Isolated(org model.Org, limit time.Duration) bool {
+	o, ok := v.Config().Org(org)
+	if !ok {
+		return false
+	}
+	switch o.Isolated().(type) {
+	case conf.Deny:
+		return v.Outside() > limit
+	case conf.Serve:
+		return false
+	}
+	return false
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
-	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/front"
 	"anvilstand/io/link"
@@ -52,7 +52,7 @@
 	}
 	m := meter.New()
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
-	d.loop = ctrl.New(d.self)
+	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.front = front.New(p, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
 	return d, nil
@@ -101,7 +101,7 @@
 
 // Run serves until ctx ends, then makes a planned stop: it announces that it
 // leaves, refuses new work, finishes what runs, and returns.
-func (d *Daemon) Run(ctx context.Context, domains []model.Domain) error {
+func (d *Daemon) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -111,14 +111,7 @@
 	}
 	links := link.New(work, g, d.peer, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
-	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
-	for _, name := range domains {
-		g.Go(func() error { return watch.Members(work, d.store, d.loop, name) })
-	}
-	g.Go(func() error {
-		_ = watch.Announce(ctx, d.store, d.self)
-		return nil
-	})
+	g.Go(func() error { return watch.Follow(work, d.store, d.loop, len(d.prefs.Seeds()) > 0) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -137,9 +130,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
-	retire, done := context.WithTimeout(ctx, retireTimeout)
-	_ = watch.Retire(retire, d.store, d.self)
-	done()
+	d.awaitRecord(ctx)
 	d.front.Close()
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
@@ -147,12 +138,29 @@
 	d.log.Info("left")
 }
 
+// awaitRecord waits for the record to say that this daemon leaves, if there is
+// another to write it.
+func (d *Daemon) awaitRecord(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, retireTimeout)
+	defer done()
+	_ = d.loop.Await(ctx, func(v *ctrl.View) bool {
+		others := false
+		for _, m := range v.Members() {
+			if m == v.Self() {
+				return true
+			}
+			others = others || (m.Domain() == v.Self().Domain() && m.Name() != v.Self().Name() && !m.Leaving())
+		}
+		return !others
+	})
+}
+
 // Bounds of the listeners.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
-	retireTimeout = 2 * time.Second
+	retireTimeout = time.Second
 )
 
 // servers returns the servers of the listeners. Their requests end with ctx.
--- a/io/daemon/path_test.go
+++ b/io/daemon/path_test.go
@@ -15,7 +15,6 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
-	"anvilstand/core/model"
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
 	"anvilstand/io/stand"
@@ -47,7 +46,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.Go(func() error { return d.Run(ctx, []model.Domain{"north"}) })
+		g.Go(func() error { return d.Run(ctx) })
 		return d
 	}
 	p.caller = start("entry", http.NotFoundHandler())
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -43,8 +43,13 @@
 	maxFailed = 10
 )
 
-// headerIncarnation names the process at either end of a link.
-const headerIncarnation = "Incarnation"
+// Headers of the request that opens a link.
+const (
+	// headerIncarnation names the process at either end.
+	headerIncarnation = "Incarnation"
+	// headerAddress says where the dialing daemon listens for its peers.
+	headerAddress = "Address"
+)
 
 // Registry is what the links know of the daemons, and whom they tell.
 type Registry interface {
@@ -184,6 +189,7 @@
 	header := http.Header{}
 	header.Set("Authorization", "Bearer "+l.secret)
 	header.Set("From", string(l.self.Name()))
+	header.Set(headerAddress, l.self.Address())
 	header.Set(headerIncarnation, strconv.FormatUint(uint64(l.self.Incarnation()), 10))
 	dial, stop := context.WithTimeout(ctx, silence)
 	defer stop()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -5,17 +5,12 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
-	"anvilstand/core/change"
-	"anvilstand/core/lang"
 	"anvilstand/core/model"
 	"anvilstand/core/query"
 	"anvilstand/io/ctrl"
@@ -59,61 +54,6 @@
 	return found, found != ""
 }
 
-func (o *Oper) serveTell(w http.ResponseWriter, r *http.Request) {
-	operator, ok := o.operator(r)
-	if !ok {
-		writeResult(w, http.StatusUnauthorized, 0, "operator key is not known")
-		return
-	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, lang.MaxText))
-	if err != nil {
-		writeResult(w, http.StatusRequestEntityTooLarge, 0, "command is cut off or too large")
-		return
-	}
-	e, err := o.prepare(r, operator, string(text))
-	if err == nil {
-		err = o.commit(r, e)
-	}
-	writeOutcome(w, e.Revision(), err)
-}
-
-// prepare reads a command and checks that it applies to what is in force.
-func (o *Oper) prepare(r *http.Request, operator, text string) (change.Entry, error) {
-	batch, err := change.Parse(text)
-	if err != nil {
-		return change.Entry{}, err
-	}
-	config := o.loop.View().Config()
-	rev := config.Revision() + 1
-	if want := r.URL.Query().Get("revision"); want != "" {
-		n, err := strconv.ParseUint(want, 10, 63)
-		if err != nil {
-			return change.Entry{}, errors.Wrap(err, "read revision")
-		}
-		rev = model.Revision(n) + 1
-	}
-	op := r.URL.Query().Get("op")
-	if !lang.IsName(op) {
-		return change.Entry{}, errors.New("op: expected a name that identifies the operation")
-	}
-	if rev == config.Revision()+1 {
-		if _, err := change.Apply(config, batch, rev); err != nil {
-			return change.Entry{}, err
-		}
-	}
-	return change.NewEntry(rev, model.Op(op), operator, time.Now().Unix(), batch), nil
-}
-
-func (o *Oper) commit(r *http.Request, e change.Entry) error {
-	if err := watch.Commit(r.Context(), o.store, e); err != nil {
-		return err
-	}
-	if err := o.loop.Tell(r.Context(), ctrl.NewLearned(e)); err != nil && !errors.Is(err, ctrl.ErrGap) {
-		return err
-	}
-	return nil
-}
-
 func writeOutcome(w http.ResponseWriter, rev model.Revision, err error) {
 	var conflict *watch.Conflict
 	switch {
@@ -121,6 +61,8 @@
 		writeResult(w, http.StatusOK, rev, "accepted")
 	case errors.As(err, &conflict):
 		writeResult(w, http.StatusConflict, conflict.Won().Revision(), err.Error())
+	case errors.Is(err, errPassed):
+		writeResult(w, http.StatusConflict, 0, err.Error())
 	case errors.Is(err, store.ErrAway):
 		writeResult(w, http.StatusServiceUnavailable, 0, err.Error())
 	case errors.Is(err, store.ErrUnknown):
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -50,6 +50,7 @@
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
 	"operators", "deadline", "grace", "budget", "body", "cert", "key", "authority",
+	"seeds", "isolation",
 }
 
 func unknownFields(text []byte) Faults {
@@ -122,6 +123,8 @@
 	}
 	const seconds = "seconds, above 0 and up to 3600"
 	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
+	need(p.isolation > 0 && p.isolation.Seconds() <= maxTime, "isolation", seconds)
+	need(!slices.ContainsFunc(p.seeds, isNoAddress), "seeds", "a list of addresses as host:port with an IP number")
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
@@ -135,6 +138,8 @@
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
+func isNoAddress(s string) bool { return !isAddress(s) }
+
 func isBase(s string) bool {
 	u, err := url.Parse(s)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -31,8 +31,18 @@
 	cert      string
 	certKey   string
 	authority string
+	seeds     []string
+	isolation time.Duration
 }
 
+// Seeds returns addresses of other daemons, of the own and of other failure
+// domains, to ask for the fleet when the store is away.
+func (p *Prefs) Seeds() []string { return p.seeds }
+
+// Isolation returns how long the failure domain may hear from neither the store
+// nor another domain before it counts as cut off.
+func (p *Prefs) Isolation() time.Duration { return p.isolation }
+
 // Name returns the instance's name.
 func (p *Prefs) Name() model.Instance { return p.name }
 
@@ -84,10 +94,11 @@
 
 // Defaults of the settings that may be left out.
 const (
-	defaultDeadline = 5 * time.Second
-	defaultGrace    = 30 * time.Second
-	defaultBudget   = 3
-	defaultMaxBody  = 64 << 20
+	defaultDeadline  = 5 * time.Second
+	defaultGrace     = 30 * time.Second
+	defaultIsolation = 30 * time.Second
+	defaultBudget    = 3
+	defaultMaxBody   = 64 << 20
 )
 
 // Parse reads and checks settings. An error is Faults when the form was read.
@@ -106,6 +117,8 @@
 		Budget                    *int
 		Body                      *int64
 		Cert, Key, Authority      string
+		Seeds                     []string
+		Isolation                 *float64
 	}
 	if err := json.Unmarshal(plain, &w); err != nil {
 		faults = append(faults, typeFault(text, err))
@@ -116,6 +129,7 @@
 		operators: w.Operators,
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
+		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
 		cert: w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
--- a/io/trial/fleet.go
+++ b/io/trial/fleet.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	f.daemons[domain] = append(f.daemons[domain], d)
-	f.group.Go(func() error { return d.Run(ctx, domains) })
+	f.group.Go(func() error { return d.Run(ctx) })
 	return nil
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -1,176 +1,178 @@
-// Package watch follows the store and tells the control goroutine what it
-// finds there.
+// Package watch keeps the store and the control state in step. What a daemon
+// does there depends on the role that its control state gives it: a watcher
+// follows the configuration and the records of members, and writes the record
+// of its own failure domain.
 package watch
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
-	"anvilstand/core/change"
-	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/store"
 )
 
-// Pause is the wait after a store that did not answer.
-const Pause = 200 * time.Millisecond
+// Times of a daemon's dealings with the store. Each is lengthened by up to as
+// much again at random, so that daemons do not call together.
+const (
+	// Pause is the wait after a store that did not answer.
+	Pause = 200 * time.Millisecond
+	// CheckEvery is the time between two reads that find what a stuck watch
+	// has missed.
+	CheckEvery = 1500 * time.Millisecond
+	// WriteEvery is the time between two writes of the record of a domain.
+	WriteEvery = time.Second
+	// startSpread is the time over which the first reads of daemons that start
+	// together are spread.
+	startSpread = 400 * time.Millisecond
+	// seedTime is how long a daemon waits for its seeds before it asks the
+	// store.
+	seedTime = 2 * time.Second
+)
 
 // EntryKey returns the key of the change that makes a revision.
 func EntryKey(rev model.Revision) string { return "conf." + strconv.FormatUint(uint64(rev), 10) }
 
-// MembersKey returns the key of the members of a failure domain.
+// MembersKey returns the key of the record of a failure domain's members.
 func MembersKey(d model.Domain) string { return "fleet." + string(d) }
 
-// Config follows the line of revisions until ctx ends.
-func Config(ctx context.Context, s store.Store, l *ctrl.Loop) error {
-	for ctx.Err() == nil {
-		if err := nextEntry(ctx, s, l); err != nil {
-			rest(ctx)
-		}
-	}
-	return nil
+// domainsKey is the key of the list of the failure domains.
+const domainsKey = "domains"
+
+// follower is a daemon's side of the store.
+type follower struct {
+	store store.Store
+	loop  *ctrl.Loop
 }
 
-func nextEntry(ctx context.Context, s store.Store, l *ctrl.Loop) error {
-	key := EntryKey(l.View().Config().Revision() + 1)
-	item, err := s.Watch(ctx, key, 0)
-	if err != nil {
-		return errors.Wrap(err, "watch configuration")
-	}
-	if item.Version() == 0 {
-		return nil
-	}
-	e, err := codec.DecodeEntry(item.Data())
-	if err != nil {
-		return errors.Wrapf(err, "read %s", key)
+// Follow keeps the store and the control state in step until ctx ends. With
+// seeds the daemon asks its peers first and the store only when they are silent.
+func Follow(ctx context.Context, s store.Store, l *ctrl.Loop, seeds bool) error {
+	f := &follower{store: s, loop: l}
+	f.start(ctx, seeds)
+	g, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context){f.config, f.check, f.domains, f.write, f.compact} {
+		g.Go(func() error {
+			run(ctx)
+			return nil
+		})
 	}
-	return l.Tell(ctx, ctrl.NewLearned(e))
+	return g.Wait()
 }
 
-// Members follows the members of a failure domain until ctx ends.
-func Members(ctx context.Context, s store.Store, l *ctrl.Loop, d model.Domain) error {
-	var version uint64
-	for ctx.Err() == nil {
-		item, err := s.Watch(ctx, MembersKey(d), version)
-		if err != nil {
-			rest(ctx)
-			continue
-		}
-		if item.Version() == version {
-			continue
-		}
-		version = item.Version()
-		if err := seen(ctx, l, d, item); err != nil {
-			rest(ctx)
+// start reads the record of the own failure domain, unless peers have told it.
+func (f *follower) start(ctx context.Context, seeds bool) {
+	d := f.loop.View().Self().Domain()
+	known := func(v *ctrl.View) bool { return v.Version(d) > 0 }
+	if seeds {
+		wait, stop := context.WithTimeout(ctx, seedTime)
+		defer stop()
+		if f.loop.Await(wait, known) == nil {
+			return
 		}
 	}
-	return nil
-}
-
-func seen(ctx context.Context, l *ctrl.Loop, d model.Domain, item store.Item) error {
-	list, err := codec.DecodeMembers(item.Data())
-	if err != nil {
-		return err
+	rest(ctx, rand.N(startSpread))
+	for ctx.Err() == nil && !known(f.loop.View()) {
+		if f.readRoll(ctx, d) == nil {
+			return
+		}
+		pause(ctx, Pause)
 	}
-	return l.Tell(ctx, ctrl.NewSeen(d, list))
-}
-
-// Announce writes this daemon into the members of its failure domain, and
-// tries again until it has or ctx ends.
-func Announce(ctx context.Context, s store.Store, m fleet.Member) error {
-	return edit(ctx, s, m.Domain(), func(list []fleet.Member) []fleet.Member { return fleet.Announce(list, m) })
 }
 
-// Retire takes a daemon out of the members of its failure domain.
-func Retire(ctx context.Context, s store.Store, m fleet.Member) error {
-	return edit(ctx, s, m.Domain(), func(list []fleet.Member) []fleet.Member { return fleet.Retire(list, m.Name()) })
+func isWatcher(v *ctrl.View) bool {
+	_, ok := v.Watching()
+	return ok
 }
 
-func edit(ctx context.Context, s store.Store, d model.Domain, f func([]fleet.Member) []fleet.Member) error {
-	for ctx.Err() == nil {
-		err := editOnce(ctx, s, d, f)
-		if err == nil {
-			return nil
+// config follows the line of revisions.
+func (f *follower) config(ctx context.Context) {
+	var bad store.Item
+	for f.loop.Await(ctx, isWatcher) == nil {
+		if f.loop.View().Config().Revision() == 0 {
+			if err := f.readBase(ctx); err != nil {
+				pause(ctx, Pause)
+				continue
+			}
+		}
+		item, err := f.nextEntry(ctx, bad)
+		if errors.Is(err, codec.ErrForm) {
+			bad = item
 		}
-		if !errors.Is(err, store.ErrConflict) {
-			rest(ctx)
+		if err != nil {
+			pause(ctx, Pause)
 		}
 	}
-	return errors.Wrapf(ctx.Err(), "edit members of %s", d)
 }
 
-func editOnce(ctx context.Context, s store.Store, d model.Domain, f func([]fleet.Member) []fleet.Member) error {
-	item, err := s.Get(ctx, MembersKey(d))
-	if err != nil {
-		return err
-	}
-	var list []fleet.Member
-	if item.Version() > 0 {
-		if list, err = codec.DecodeMembers(item.Data()); err != nil {
-			return err
+// nextEntry waits for the next change. A value found to be bad is waited out.
+func (f *follower) nextEntry(ctx context.Context, bad store.Item) (store.Item, error) {
+	rev := f.loop.View().Config().Revision() + 1
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		over := func(v *ctrl.View) bool { return v.Config().Revision() >= rev || !isWatcher(v) }
+		if f.loop.Await(ctx, over) == nil {
+			cancel()
 		}
+		return nil
+	})
+	item, err := f.store.Watch(ctx, EntryKey(rev), bad.Version())
+	overtaken := ctx.Err() != nil
+	cancel()
+	_ = g.Wait()
+	if overtaken {
+		return item, nil
 	}
-	data, err := codec.EncodeMembers(f(list))
 	if err != nil {
-		return err
+		return item, errors.Wrap(err, "watch configuration")
 	}
-	_, err = s.Swap(ctx, MembersKey(d), item.Version(), data, 0)
-	return err
-}
-
-// Conflict is a command that lost the race for its revision. It names the
-// change that won.
-type Conflict struct{ won change.Entry }
-
-// Won returns the change that holds the revision.
-func (c *Conflict) Won() change.Entry { return c.won }
-
-// Error names the revision and what it says.
-func (c *Conflict) Error() string {
-	return "conflict: revision " + strconv.FormatUint(uint64(c.won.Revision()), 10) + " by " + c.won.Operator() +
-		" says: " + change.FormatAll(c.won.Batch())
+	return item, f.learn(context.WithoutCancel(ctx), rev, item)
 }
 
-// Commit writes a change as the next revision. When the answer is lost, it
-// reads back who holds the revision. An error is a *Conflict, or wraps
-// store.ErrAway when nothing changed, or store.ErrUnknown.
-func Commit(ctx context.Context, s store.Store, e change.Entry) error {
-	data, err := codec.EncodeEntry(e)
-	if err != nil {
-		return err
-	}
-	_, err = s.Swap(ctx, EntryKey(e.Revision()), 0, data, 0)
-	if err == nil || errors.Is(err, store.ErrAway) {
+// learn takes what stands at the key of a revision.
+func (f *follower) learn(ctx context.Context, rev model.Revision, item store.Item) error {
+	if err := f.loop.Tell(ctx, ctrl.Reached{}); err != nil {
 		return err
 	}
-	return settle(ctx, s, e, err)
-}
-
-func settle(ctx context.Context, s store.Store, e change.Entry, cause error) error {
-	item, err := s.Get(ctx, EntryKey(e.Revision()))
-	if err != nil {
-		return errors.Wrapf(store.ErrUnknown, "commit revision %d: %v, then %v", e.Revision(), cause, err)
-	}
 	if item.Version() == 0 {
-		return errors.Wrapf(store.ErrUnknown, "commit revision %d: %v", e.Revision(), cause)
+		return nil
+	}
+	e, err := codec.DecodeEntry(item.Data())
+	if err == nil && e.Revision() != rev {
+		err = errors.Wrap(codec.ErrForm, "revision of another key")
 	}
-	won, err := codec.DecodeEntry(item.Data())
 	if err != nil {
-		return errors.Wrapf(err, "commit revision %d", e.Revision())
+		f.loop.Offer(ctrl.Refused{})
+		return errors.Wrapf(err, "read %s", EntryKey(rev))
 	}
-	if won.Op() == e.Op() {
-		return nil
+	return f.loop.Tell(ctx, ctrl.NewLearned(e))
+}
+
+// check reads the next revision now and then, in case the watch is stuck.
+func (f *follower) check(ctx context.Context) {
+	for f.loop.Await(ctx, isWatcher) == nil {
+		pause(ctx, CheckEvery)
+		rev := f.loop.View().Config().Revision() + 1
+		if item, err := f.store.Get(ctx, EntryKey(rev)); err == nil {
+			_ = f.learn(ctx, rev, item)
+		}
 	}
-	return &Conflict{won: won}
 }
 
-func rest(ctx context.Context) {
-	t := time.NewTimer(Pause)
+// pause waits for d and up to as much again.
+func pause(ctx context.Context, d time.Duration) { rest(ctx, d+rand.N(d)) }
+
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
