Each listener bounds its connections

Cause: a listener took any number of connections. Change: setting conns, 4096 unless set, by netutil.LimitListener. Conclusion: more connections wait.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
@@ -79,7 +80,7 @@
 			d.closeListeners()
 			return errors.Wrapf(err, "listen for %s at %s", name, addresses[name])
 		}
-		d.lns = append(d.lns, ln)
+		d.lns = append(d.lns, netutil.LimitListener(ln, d.prefs.Conns()))
 	}
 	return nil
 }
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -49,7 +49,7 @@
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body", "cert", "key", "authority",
+	"operators", "deadline", "grace", "budget", "body", "conns", "cert", "key", "authority",
 }
 
 func unknownFields(text []byte) Faults {
@@ -125,6 +125,7 @@
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
+	need(p.conns > 0, "conns", "connections, above 0")
 	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
 	need(whole, "cert", "cert, key and authority are set together or not at all")
 	return faults
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -28,6 +28,7 @@
 	grace     time.Duration
 	budget    int
 	maxBody   int64
+	conns     int
 	cert      string
 	certKey   string
 	authority string
@@ -75,6 +76,9 @@
 // MaxBody returns the largest request body, in bytes.
 func (p *Prefs) MaxBody() int64 { return p.maxBody }
 
+// Conns returns how many connections each listener holds open.
+func (p *Prefs) Conns() int { return p.conns }
+
 // Secured reports whether the listeners and links use TLS.
 func (p *Prefs) Secured() bool { return p.cert != "" }
 
@@ -88,6 +92,7 @@
 	defaultGrace    = 30 * time.Second
 	defaultBudget   = 3
 	defaultMaxBody  = 64 << 20
+	defaultConns    = 4096
 )
 
 // Parse reads and checks settings. An error is Faults when the form was read.
@@ -103,7 +108,7 @@
 		Store, Secret             string
 		Operators                 map[string]string
 		Deadline, Grace           *float64
-		Budget                    *int
+		Budget, Conns             *int
 		Body                      *int64
 		Cert, Key, Authority      string
 	}
@@ -116,7 +121,8 @@
 		operators: w.Operators,
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
-		cert: w.Cert, certKey: w.Key, authority: w.Authority,
+		conns: or(w.Conns, defaultConns),
+		cert:  w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
 		return nil, faults
