--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -10,11 +10,12 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
-	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/front"
 	"anvilstand/io/link"
@@ -29,7 +30,7 @@
 // Daemon is one daemon beside one target.
 type Daemon struct {
 	prefs *prefs.Prefs
-	net   wire.Network
+	peer  wire.Network
 	store store.Store
 	log   hclog.Logger
 	self  fleet.Member
@@ -41,23 +42,49 @@
 
 // New opens the daemon's listeners. An address with port 0 takes any free port.
 func New(p *prefs.Prefs, n wire.Network, s store.Store, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{prefs: p, net: n, store: s, log: log}
-	for _, address := range []string{p.Front(), p.Peer(), p.Oper()} {
-		ln, err := n.Listen(address)
-		if err != nil {
-			d.closeListeners()
-			return nil, errors.Wrapf(err, "listen at %s", address)
-		}
-		d.lns = append(d.lns, ln)
+	d := &Daemon{prefs: p, store: s, log: log}
+	served, mutual, err := secure(p, n)
+	if err != nil {
+		return nil, err
+	}
+	d.peer = mutual
+	if err := d.listen(served, mutual, served); err != nil {
+		return nil, err
 	}
 	m := meter.New()
-	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
-	d.loop = ctrl.New(d.self)
-	d.front = front.New(p, n, d.loop, m)
+	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
+	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
+	d.front = front.New(p, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
 	return d, nil
 }
 
+// secure returns the networks of the callers and of the peers.
+func secure(p *prefs.Prefs, n wire.Network) (served, mutual wire.Network, err error) {
+	if !p.Secured() {
+		return n, n, nil
+	}
+	c, err := wire.LoadCertificate(p.Certificate())
+	if err != nil {
+		return nil, nil, err
+	}
+	return wire.Served(n, c), wire.Mutual(n, c), nil
+}
+
+func (d *Daemon) listen(front, peer, oper wire.Network) error {
+	networks := map[string]wire.Network{"front": front, "peer": peer, "oper": oper}
+	addresses := map[string]string{"front": d.prefs.Front(), "peer": d.prefs.Peer(), "oper": d.prefs.Oper()}
+	for _, name := range []string{"front", "peer", "oper"} {
+		ln, err := networks[name].Listen(addresses[name])
+		if err != nil {
+			d.closeListeners()
+			return errors.Wrapf(err, "listen for %s at %s", name, addresses[name])
+		}
+		d.lns = append(d.lns, netutil.LimitListener(ln, d.prefs.Conns()))
+	}
+	return nil
+}
+
 func (d *Daemon) closeListeners() {
 	for _, ln := range d.lns {
 		_ = ln.Close()
@@ -75,7 +102,7 @@
 
 // Run serves until ctx ends, then makes a planned stop: it announces that it
 // leaves, refuses new work, finishes what runs, and returns.
-func (d *Daemon) Run(ctx context.Context, domains []model.Domain) error {
+func (d *Daemon) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -83,16 +110,9 @@
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.lns[i]) })
 	}
-	links := link.New(work, g, d.net, d.self.Name(), d.prefs.Secret(), d.log)
+	links := link.New(work, g, d.peer, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
-	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
-	for _, name := range domains {
-		g.Go(func() error { return watch.Members(work, d.store, d.loop, name) })
-	}
-	g.Go(func() error {
-		_ = watch.Announce(ctx, d.store, d.self)
-		return nil
-	})
+	g.Go(func() error { return watch.Follow(work, d.store, d.loop, len(d.prefs.Seeds()) > 0) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -111,9 +131,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
-	retire, done := context.WithTimeout(ctx, retireTimeout)
-	_ = watch.Retire(retire, d.store, d.self)
-	done()
+	d.awaitRecord(ctx)
 	d.front.Close()
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
@@ -121,12 +139,29 @@
 	d.log.Info("left")
 }
 
+// awaitRecord waits for the record to say that this daemon leaves, if there is
+// another to write it.
+func (d *Daemon) awaitRecord(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, retireTimeout)
+	defer done()
+	_ = d.loop.Await(ctx, func(v *ctrl.View) bool {
+		others := false
+		for _, m := range v.Members() {
+			if m == v.Self() {
+				return true
+			}
+			others = others || (m.Domain() == v.Self().Domain() && m.Name() != v.Self().Name() && !m.Leaving())
+		}
+		return !others
+	})
+}
+
 // Bounds of the listeners.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
-	retireTimeout = 2 * time.Second
+	retireTimeout = time.Second
 )
 
 // servers returns the servers of the listeners. Their requests end with ctx.
@@ -150,7 +185,7 @@
 // messages at /link.
 func (d *Daemon) peers() http.Handler {
 	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	m.Handle("/link", link.Accept(d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
+	m.Handle("/link", link.Accept(d.self.Incarnation(), d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
 		return d.loop.Tell(ctx, ctrl.NewHeard(p))
 	}))
 	m.PathPrefix("/relay").Handler(d.front.Peers())
--- a/proof/cells/fleet.go
+++ b/proof/cells/fleet.go
@@ -46,7 +46,7 @@
 type node struct {
 	fleet    *fleet
 	n, m     int
-	starting sync.Mutex
+	starting chan struct{}
 	mu       sync.Mutex
 	host     *cable.Host
 	daemon   *daemon.Daemon
@@ -137,7 +137,7 @@
 	for n := range domains {
 		f.callers = append(f.callers, newCaller(f.cable.Host(callerIP(n))))
 		for m := range services {
-			node := &node{fleet: f, n: n, m: m}
+			node := &node{fleet: f, n: n, m: m, starting: make(chan struct{}, 1)}
 			node.target = &target{node: node, wrap: f.wrap}
 			f.nodes = append(f.nodes, node)
 			if err := node.target.start(); err != nil {
@@ -172,8 +172,8 @@
 
 // start starts the node's daemon as a new process, once the last one has ended.
 func (n *node) start() error {
-	n.starting.Lock()
-	defer n.starting.Unlock()
+	n.starting <- struct{}{}
+	defer func() { <-n.starting }()
 	n.mu.Lock()
 	up, stopped := n.up, n.stopped
 	n.mu.Unlock()
@@ -209,7 +209,7 @@
 	n.mu.Unlock()
 	n.fleet.group.Go(func() error {
 		defer close(stopped)
-		_ = d.Run(ctx, domains)
+		_ = d.Run(ctx)
 		return nil
 	})
 	return nil
