--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -134,6 +134,9 @@
 // Await waits until a snapshot is as asked, or ctx ends.
 func (l *Loop) Await(ctx context.Context, ok func(*View) bool) error {
 	for {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		v := l.View()
 		if ok(v) {
 			return nil
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -113,9 +113,9 @@
 }
 
 // nextEntry waits for the next change. A value found to be bad is waited out.
-func (f *follower) nextEntry(ctx context.Context, bad store.Item) (store.Item, error) {
+func (f *follower) nextEntry(life context.Context, bad store.Item) (store.Item, error) {
 	rev := f.loop.View().Config().Revision() + 1
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -135,7 +135,7 @@
 	if err != nil {
 		return item, errors.Wrap(err, "watch configuration")
 	}
-	return item, f.learn(context.WithoutCancel(ctx), rev, item)
+	return item, f.learn(life, rev, item)
 }
 
 // learn takes what stands at the key of a revision.
