--- a/proof/cells/caller.go
+++ b/proof/cells/caller.go
@@ -190,9 +190,10 @@
 // again is the wait before an operator tries again.
 const again = 500 * time.Millisecond
 
-// tell gives a command to one daemon after another until one takes it.
-func (f *fleet) tell(ctx context.Context, op, text string) {
-	for i := 0; ctx.Err() == nil; i++ {
+// tell gives a command to one daemon after another, from a first one on, until
+// one takes it.
+func (f *fleet) tell(ctx context.Context, first int, op, text string) {
+	for i := first; ctx.Err() == nil; i++ {
 		t := Told{op: op, text: text, from: f.history.now()}
 		t.said, t.rev = f.tellOnce(ctx, f.nodes[i%len(f.nodes)], op, text)
 		t.until = f.history.now()
--- a/proof/cells/run.go
+++ b/proof/cells/run.go
@@ -87,7 +87,7 @@
 		f.look(ctx)
 		return nil
 	})
-	f.tell(ctx, opSetup, setup())
+	f.tell(ctx, 0, opSetup, setup())
 	f.until(settled)
 	g.Go(func() error {
 		f.traffic(ctx, c.seed)
@@ -123,14 +123,28 @@
 func (f *fleet) change(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error {
 		f.until(changed)
-		f.tell(ctx, opWithdraw, "withdraw key "+withdrawn)
-		f.tell(ctx, opOut, "out domain "+string(outDomain))
+		f.tell(ctx, 0, opWithdraw, "withdraw key "+withdrawn)
+		f.race(ctx)
+		f.tell(ctx, 0, opOut, "out domain "+string(outDomain))
 		f.until(returned)
-		f.tell(ctx, opIn, "in domain "+string(outDomain))
+		f.tell(ctx, 0, opIn, "in domain "+string(outDomain))
 		return nil
 	})
 }
 
+// race lets two operators change the same thing at once, through daemons of two
+// failure domains.
+func (f *fleet) race(ctx context.Context) {
+	g := &errgroup.Group{}
+	for i, op := range []string{"race1", "race2"} {
+		g.Go(func() error {
+			f.tell(ctx, i*len(services), op, fmt.Sprintf("set org zeta rank %d", 5+i))
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
 // look notes what every daemon holds until ctx ends.
 func (f *fleet) look(ctx context.Context) {
 	t := time.NewTicker(looks)
