The history and its checks in a package of their own

Change: proof/audit holds the history, the plan and the checks; no change of a check. Conclusion: one place for the checks.

--- a/proof/cells/check.go
+++ b/proof/audit/check.go
@@ -1,11 +1,10 @@
-package cells
+package audit
 
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
-
-	"anvilstand/core/model"
 )
 
 // Promise is what must hold in every cell.
@@ -107,11 +106,8 @@
 	return ""
 }
 
-// Name returns the name of a step, a fault or a promise.
-func Name(v any) string {
-	name := fmt.Sprintf("%T", v)
-	return name[len("cells."):]
-}
+// Name returns the name of a promise.
+func Name(p Promise) string { return strings.TrimPrefix(fmt.Sprintf("%T", p), "audit.") }
 
 func checkOwn(h *History) string {
 	for _, s := range h.sent {
@@ -144,7 +140,7 @@
 // inside it: each of them was admitted inside it.
 func checkRate(h *History) string {
 	first := firstRuns(h)
-	for _, t := range tenants {
+	for _, t := range h.plan.limits {
 		var list []span
 		seen := map[string]bool{}
 		for _, s := range h.sent {
@@ -172,7 +168,7 @@
 	return first
 }
 
-func checkWindows(t tenant, list []span) string {
+func checkWindows(t limit, list []span) string {
 	sort.Slice(list, func(i, j int) bool { return list[i].until < list[j].until })
 	for i := range list {
 		from, n := list[i].from, 0
@@ -193,9 +189,9 @@
 // rounding is the error of sums of floating-point numbers.
 const rounding = 1e-6
 
-// within is the time in which a change is in force, and a domain out is out,
+// Within is the time in which a change is in force, and a domain out is out,
 // once all can reach each other.
-const within = 5 * time.Second
+const Within = 5 * time.Second
 
 // accepted returns when the change of an operation was accepted, and everyone
 // could be reached again.
@@ -209,13 +205,13 @@
 }
 
 func checkKey(h *History) string {
-	at, ok := h.accepted(opWithdraw)
+	at, ok := h.accepted(h.plan.withdraw)
 	if !ok {
 		return "the withdrawal was never accepted"
 	}
 	runs := h.runs()
 	for _, s := range h.sent {
-		if s.key == withdrawn && s.from > at+within && len(runs[s.id]) > 0 {
+		if s.key == h.plan.key && s.from > at+Within && len(runs[s.id]) > 0 {
 			return fmt.Sprintf("request %s ran at %v with a key withdrawn by %v", s.id, runs[s.id][0].from, at)
 		}
 	}
@@ -223,13 +219,13 @@
 }
 
 func checkOut(h *History) string {
-	at, ok := h.accepted(opOut)
+	at, ok := h.accepted(h.plan.out)
 	if !ok {
 		return "taking the domain out was never accepted"
 	}
 	back := h.ended
 	for _, t := range h.told {
-		if t.op == opIn {
+		if t.op == h.plan.in {
 			back = min(back, t.from)
 		}
 	}
@@ -238,7 +234,7 @@
 		sent[s.id] = s.from
 	}
 	for _, r := range h.ran {
-		if r.domain == outDomain && sent[r.id] > at+within && r.from < back {
+		if r.domain == h.plan.domain && sent[r.id] > at+Within && r.from < back {
 			return fmt.Sprintf("request %s ran in %s at %v, which was out by %v", r.id, r.domain, r.from, at)
 		}
 	}
@@ -270,16 +266,13 @@
 	return ""
 }
 
-// attempts is the retry budget of the fleet and the first attempt.
-const attempts = 4
-
 func checkBound(h *History) string {
 	sendings := map[string]int{}
 	for _, s := range h.sent {
 		sendings[s.id]++
 	}
 	for id, runs := range h.runs() {
-		if n := sendings[id]; n > 0 && len(runs) > n*attempts {
+		if n := sendings[id]; n > 0 && len(runs) > n*h.plan.attempts {
 			return fmt.Sprintf("request %s ran %d times for %d sendings", id, len(runs), n)
 		}
 	}
@@ -293,7 +286,7 @@
 func checkBack(h *History) string {
 	whole, all := 0, 0
 	for _, s := range h.sent {
-		if s.from < h.ended-finale || s.org != tenants[0].org || s.key == withdrawn {
+		if s.from < h.ended-h.plan.finale || s.org != h.plan.main || s.key == h.plan.key {
 			continue
 		}
 		all++
@@ -313,6 +306,3 @@
 	}
 	return ""
 }
-
-// outDomain is the failure domain that each cell takes out.
-const outDomain = model.Domain("south")
--- a/proof/cells/line.go
+++ b/proof/audit/line.go
@@ -1,4 +1,4 @@
-package cells
+package audit
 
 import (
 	"fmt"
@@ -158,7 +158,7 @@
 		if _, ok := t.said.(Accepted); !ok {
 			continue
 		}
-		by := max(t.until, h.healed) + within
+		by := max(t.until, h.healed) + Within
 		for _, r := range h.held {
 			if r.at > by && r.rev < t.rev {
 				return fmt.Sprintf("%s held revision %d at %v; %d was accepted by %v", r.daemon, r.rev, r.at, t.rev, t.until)
--- a/proof/cells/break_test.go
+++ b/proof/cells/break_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"anvilstand/core/conf"
+	"anvilstand/core/model"
 	"anvilstand/io/store"
+	"anvilstand/proof/audit"
 	"anvilstand/proof/cable"
 )
 
@@ -22,28 +24,28 @@
 	digest := fmt.Sprint(conf.DigestOf(withdrawn))
 	other := fmt.Sprint(conf.DigestOf("a-key-of-nobody"))
 	cases := map[string]struct {
-		promise Promise
+		promise audit.Promise
 		rig     func(*fleet)
-		edit    func(*History)
+		edit    func(*audit.History)
 	}{
-		"an answer to another request": {promise: Own{}, rig: aroundTarget(answerOther)},
-		"half an answer as a whole":    {promise: Own{}, rig: aroundTarget(answerHalf)},
-		"a false refusal":              {promise: Truth{}, rig: onWrite(isRelayed, falseRefusal)},
-		"a request run twice":          {promise: Once{}, rig: aroundTarget(runTwice(http.MethodPost))},
-		"an answer without a run":      {promise: Once{}, rig: aroundTarget(noRun)},
-		"a rate raised by the store":   {promise: Rate{}, rig: lyingStore("rate 10 burst 10", "rate 90 burst 90")},
-		"a commit the store forgot":    {promise: Line{}, rig: forgetful},
-		"a daemon that goes back":      {promise: Line{}, edit: goBack},
-		"a revision nobody told":       {promise: Line{}, edit: goAhead},
-		"a change never in force":      {promise: Line{}, edit: stayBehind},
-		"a withdrawal altered":         {promise: Key{}, rig: lyingStore("withdraw digest "+digest, "withdraw digest "+other)},
-		"a key sent to the target":     {promise: Secret{}, rig: onWrite(isToTarget, plantKey)},
-		"a key in the log":             {promise: Secret{}, rig: func(f *fleet) { _, _ = f.log.Write([]byte(withdrawn)) }},
-		"another domain taken out":     {promise: Out{}, rig: lyingStore("domain south", "domain north")},
-		"a connection cut":             {promise: Calm{}, rig: onWrite(isToCaller, cut)},
-		"a request run without bound":  {promise: Bound{}, rig: aroundTarget(runTwice(http.MethodGet))},
-		"service that stays away":      {promise: Back{}, rig: aroundTarget(failLater)},
-		"a fault that was not placed":  {promise: Hit{}, edit: func(h *History) { h.hit = false }},
+		"an answer to another request": {promise: audit.Own{}, rig: aroundTarget(answerOther)},
+		"half an answer as a whole":    {promise: audit.Own{}, rig: aroundTarget(answerHalf)},
+		"a false refusal":              {promise: audit.Truth{}, rig: onWrite(isRelayed, falseRefusal)},
+		"a request run twice":          {promise: audit.Once{}, rig: aroundTarget(runTwice(http.MethodPost))},
+		"an answer without a run":      {promise: audit.Once{}, rig: aroundTarget(noRun)},
+		"a rate raised by the store":   {promise: audit.Rate{}, rig: lyingStore("rate 10 burst 10", "rate 90 burst 90")},
+		"a commit the store forgot":    {promise: audit.Line{}, rig: forgetful},
+		"a daemon that goes back":      {promise: audit.Line{}, edit: goBack},
+		"a revision nobody told":       {promise: audit.Line{}, edit: goAhead},
+		"a change never in force":      {promise: audit.Line{}, edit: stayBehind},
+		"a withdrawal altered":         {promise: audit.Key{}, rig: lyingStore("withdraw digest "+digest, "withdraw digest "+other)},
+		"a key sent to the target":     {promise: audit.Secret{}, rig: onWrite(isToTarget, plantKey)},
+		"a key in the log":             {promise: audit.Secret{}, rig: func(f *fleet) { _, _ = f.log.Write([]byte(withdrawn)) }},
+		"another domain taken out":     {promise: audit.Out{}, rig: lyingStore("domain south", "domain north")},
+		"a connection cut":             {promise: audit.Calm{}, rig: onWrite(isToCaller, cut)},
+		"a request run without bound":  {promise: audit.Bound{}, rig: aroundTarget(runTwice(http.MethodGet))},
+		"service that stays away":      {promise: audit.Back{}, rig: aroundTarget(failLater)},
+		"a fault that was not placed":  {promise: audit.Hit{}, rig: func(f *fleet) { f.step = neverHappens }},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -60,11 +62,11 @@
 				if tc.edit != nil {
 					tc.edit(h)
 				}
-				broken := Check(h, tc.promise)
+				broken := audit.Check(h, tc.promise)
 				if broken == "" {
-					t.Errorf("%s did not find it", Name(tc.promise))
+					t.Errorf("%s did not find it", audit.Name(tc.promise))
 				}
-				t.Logf("%s: %s", Name(tc.promise), broken)
+				t.Logf("%s: %s", audit.Name(tc.promise), broken)
 			})
 		})
 	}
@@ -217,17 +219,19 @@
 	return a.Store.Swap(ctx, key, version, data, lease)
 }
 
-func goBack(h *History) {
-	last := h.held[len(h.held)-1]
-	h.held = append(h.held, Held{daemon: last.daemon, at: last.at, rev: last.rev - 1})
-}
+func goBack(h *audit.History) { addHeld(h, -1) }
+
+func goAhead(h *audit.History) { addHeld(h, 1) }
 
-func goAhead(h *History) {
-	last := h.held[len(h.held)-1]
-	h.held = append(h.held, Held{daemon: last.daemon, at: last.at, rev: last.rev + 1})
+func addHeld(h *audit.History, more int) {
+	last := h.Held()[len(h.Held())-1]
+	rev := model.Revision(int(last.Revision()) + more)
+	h.AddHeld(audit.NewHeld(last.Daemon(), last.At(), rev))
 }
 
-func stayBehind(h *History) {
-	last := h.held[len(h.held)-1]
-	h.held = append(h.held, Held{daemon: "another", at: last.at, rev: 1})
+func stayBehind(h *audit.History) {
+	last := h.Held()[len(h.Held())-1]
+	h.AddHeld(audit.NewHeld("another", last.At(), 1))
 }
+
+func neverHappens(Step, cable.Write) bool { return false }
--- a/proof/cells/caller.go
+++ b/proof/cells/caller.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/model"
+	"anvilstand/proof/audit"
 )
 
 // tenant is an organisation of the fleet and what its callers send, in
@@ -131,7 +132,7 @@
 			return nil
 		})
 	}
-	if _, unreached := f.fire(n, s).(Unreached); unreached {
+	if _, unreached := f.fire(n, s).(audit.Unreached); unreached {
 		s.entry = (s.entry + 1) % f.wide
 		f.fire(n, s)
 	}
@@ -141,50 +142,49 @@
 // patience is how long a caller waits for an answer.
 const patience = 6 * time.Second
 
-func (f *fleet) fire(n int, s shot) End {
+func (f *fleet) fire(n int, s shot) audit.End {
 	method, path, once := s.path()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	sent := Sent{id: s.id, org: s.org, key: s.key, once: once, from: f.history.now()}
+	sent := audit.NewSent(s.id, s.org, s.key, once, f.history.Now())
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+f.nodes[n*f.wide+s.entry].front()+path, http.NoBody)
 	if err != nil {
-		return Cut{step: err.Error()}
+		return audit.NewCut(err.Error())
 	}
 	r.Header.Set("Authorization", "Bearer "+s.key)
 	if once {
 		r.Header.Set("Idempotency-Key", s.id)
 	}
-	sent.end = read(f.callers[n], r)
-	sent.until = f.history.now()
-	f.history.addSent(sent)
-	return sent.end
+	end := read(f.callers[n], r)
+	f.history.AddSent(sent.Ended(end, f.history.Now()))
+	return end
 }
 
-func read(caller *http.Client, r *http.Request) End {
+func read(caller *http.Client, r *http.Request) audit.End {
 	w, err := caller.Do(r)
 	if err != nil {
 		if strings.Contains(err.Error(), "dial") {
-			return Unreached{}
+			return audit.Unreached{}
 		}
-		return Cut{step: err.Error()}
+		return audit.NewCut(err.Error())
 	}
 	defer w.Body.Close()
 	text, err := io.ReadAll(w.Body)
 	if err != nil {
-		return Cut{step: err.Error()}
+		return audit.NewCut(err.Error())
 	}
 	if w.StatusCode == http.StatusOK {
 		id, _, _ := strings.Cut(string(text), ".")
 		if !strings.HasSuffix(string(text), ending) {
 			id = "half of " + id
 		}
-		return Whole{id: id}
+		return audit.NewWhole(id)
 	}
 	var refusal map[string]any
 	if err := json.Unmarshal(text, &refusal); err != nil {
-		return Cut{step: fmt.Sprintf("status %d: %s", w.StatusCode, text)}
+		return audit.NewCut(fmt.Sprintf("status %d: %s", w.StatusCode, text))
 	}
-	return Refused{reason: fmt.Sprint(refusal["reason"]), run: fmt.Sprint(refusal["run"])}
+	return audit.NewRefused(fmt.Sprint(refusal["reason"]), fmt.Sprint(refusal["run"]))
 }
 
 // again is the wait before an operator tries again.
@@ -194,41 +194,40 @@
 // one takes it.
 func (f *fleet) tell(ctx context.Context, first int, op, text string) {
 	for i := first; ctx.Err() == nil; i++ {
-		t := Told{op: op, text: text, from: f.history.now()}
-		t.said, t.rev = f.tellOnce(ctx, f.nodes[i%len(f.nodes)], op, text)
-		t.until = f.history.now()
-		f.history.addTold(t)
-		if _, ok := t.said.(Accepted); ok {
+		from := f.history.Now()
+		said, rev := f.tellOnce(ctx, f.nodes[i%len(f.nodes)], op, text)
+		f.history.AddTold(audit.NewTold(op, from, f.history.Now(), said, rev))
+		if _, ok := said.(audit.Accepted); ok {
 			return
 		}
 		time.Sleep(again)
 	}
 }
 
-func (f *fleet) tellOnce(ctx context.Context, n *node, op, text string) (Said, model.Revision) {
+func (f *fleet) tellOnce(ctx context.Context, n *node, op, text string) (audit.Said, model.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.oper()+"/tell?op="+op, strings.NewReader(text))
 	if err != nil {
-		return Denied{}, 0
+		return audit.Denied{}, 0
 	}
 	r.Header.Set("Authorization", "Bearer "+operatorKey)
 	w, err := f.callers[n.n].Do(r)
 	if err != nil {
-		return Unsure{}, 0
+		return audit.Unsure{}, 0
 	}
 	defer w.Body.Close()
 	var result struct {
 		Revision model.Revision `json:"revision"`
 	}
 	if err := json.NewDecoder(w.Body).Decode(&result); err != nil {
-		return Unsure{}, 0
+		return audit.Unsure{}, 0
 	}
 	switch w.StatusCode {
 	case http.StatusOK:
-		return Accepted{}, result.Revision
+		return audit.Accepted{}, result.Revision
 	case http.StatusBadGateway:
-		return Unsure{}, result.Revision
+		return audit.Unsure{}, result.Revision
 	}
-	return Denied{}, result.Revision
+	return audit.Denied{}, result.Revision
 }
--- a/proof/cells/fault.go
+++ b/proof/cells/fault.go
@@ -119,7 +119,7 @@
 func (f *fleet) strike(fault Fault, w cable.Write) cable.Act {
 	switch fault.(type) {
 	case None:
-		f.history.strike(0)
+		f.history.Strike(0)
 	case CrashBefore:
 		f.crash(w.To())
 	case CrashAfter:
@@ -144,7 +144,7 @@
 		f.isolate(domainOf(w), false)
 	case Silent:
 		f.cable.Silence(w.From(), w.To())
-		f.history.strike(cable.GiveUp)
+		f.history.Strike(cable.GiveUp)
 	case StoreDown:
 		f.ail(stand.Down{})
 	case StoreSlow:
@@ -158,19 +158,19 @@
 // crashSoon crashes a process once the write has arrived.
 func (f *fleet) crashSoon(ip string) {
 	time.AfterFunc(2*linkDelay, func() { f.crash(ip) })
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 }
 
 func (f *fleet) ail(fault stand.Fault) {
 	f.store.SetFault(fault)
 	time.AfterFunc(lasts, func() { f.store.SetFault(nil) })
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 }
 
 // crash ends the process at an IP number and starts it again later. The store
 // is the platform's: it goes down in place of crashing.
 func (f *fleet) crash(ip string) {
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 	switch n := f.at(ip); {
 	case n != nil:
 		n.crash()
@@ -183,14 +183,14 @@
 }
 
 func (f *fleet) freeze(ip string) {
-	f.history.strike(pauses)
+	f.history.Strike(pauses)
 	f.cable.Freeze(ip)
 	time.AfterFunc(pauses, func() { f.cable.Thaw(ip) })
 }
 
 // loseAnswer loses what the receiver of a step answers next to its sender.
 func (f *fleet) loseAnswer(from, to string) {
-	f.history.strike(cable.GiveUp)
+	f.history.Strike(cable.GiveUp)
 	lost := false
 	f.then(func(w cable.Write) cable.Act {
 		if lost || w.From() != to || w.To() != from {
@@ -203,7 +203,7 @@
 
 // repeat makes the links deliver messages twice and callers resend.
 func (f *fleet) repeat() cable.Act {
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 	f.resend.Store(true)
 	until := time.Now().Add(lasts)
 	time.AfterFunc(lasts, func() { f.resend.Store(false) })
@@ -218,7 +218,7 @@
 
 // reorder swaps messages of the links and makes every other answer late.
 func (f *fleet) reorder() cable.Act {
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 	until := time.Now().Add(lasts)
 	n := 0
 	f.then(func(w cable.Write) cable.Act {
@@ -238,7 +238,7 @@
 }
 
 func (f *fleet) slow(from, to string) cable.Act {
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 	f.cable.Slow(from, to, lateBy)
 	f.cable.Slow(to, from, lateBy)
 	time.AfterFunc(lasts, func() {
@@ -260,7 +260,7 @@
 // isolate cuts a failure domain off from the others and the store: what comes
 // in only, or both ways.
 func (f *fleet) isolate(domain byte, in bool) {
-	f.history.strike(lasts)
+	f.history.Strike(lasts)
 	inside := func(ip string) bool { return ip[3] == domain }
 	f.cable.Part(inside, in, true)
 	time.AfterFunc(lasts, func() { f.cable.Part(inside, in, false) })
--- a/proof/cells/fleet.go
+++ b/proof/cells/fleet.go
@@ -21,6 +21,7 @@
 	"anvilstand/io/stand"
 	"anvilstand/io/store"
 	"anvilstand/io/wire"
+	"anvilstand/proof/audit"
 	"anvilstand/proof/cable"
 )
 
@@ -76,7 +77,7 @@
 	store   stand.Stand
 	nodes   []*node
 	group   errgroup.Group
-	history *History
+	history *audit.History
 	log     logs
 	callers []*http.Client
 	resend  atomic.Bool
@@ -84,6 +85,7 @@
 	taps    []cable.Tap
 	seeMu   sync.Mutex
 	wide    int
+	step    func(Step, cable.Write) bool
 	wrap    func(http.Handler) http.Handler
 	shelf   func(store.Store) store.Store
 }
@@ -108,9 +110,10 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{cable: &cable.Cable{}, history: newHistory(), wide: len(services)}
+	f := &fleet{cable: &cable.Cable{}, history: audit.New(plan()), wide: len(services)}
 	f.cable.SetDelay(linkDelay)
 	f.cable.SetTap(f.tap)
+	f.step = f.happens
 	return f
 }
 
@@ -212,7 +215,7 @@
 	stopped := make(chan struct{})
 	n.mu.Lock()
 	n.host, n.daemon, n.stop, n.stopped = host, d, stop, stopped
-	n.starts, n.since, n.up = n.starts+1, n.fleet.history.now(), true
+	n.starts, n.since, n.up = n.starts+1, n.fleet.history.Now(), true
 	n.mu.Unlock()
 	n.fleet.group.Go(func() error {
 		defer close(stopped)
@@ -261,8 +264,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	rev, h := n.daemon.Loop().View().Config().Revision(), n.fleet.history
-	if n.up && (rev > 0 || h.now() > n.since+within) {
-		h.addHeld(Held{daemon: fmt.Sprintf("%s#%d", n.name(), n.starts), at: h.now(), rev: rev})
+	if n.up && (rev > 0 || h.Now() > n.since+audit.Within) {
+		h.AddHeld(audit.NewHeld(fmt.Sprintf("%s#%d", n.name(), n.starts), h.Now(), rev))
 	}
 }
 
--- a/proof/cells/matrix_test.go
+++ b/proof/cells/matrix_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	"anvilstand/proof/audit"
 )
 
 var (
@@ -116,23 +118,23 @@
 		t.Error(err)
 		return "no"
 	}
-	return judge(t, h, c.Name(), known, Promises())
+	return judge(t, h, c.Name(), known, audit.Promises())
 }
 
 // judge checks promises on a history. One that is known not to hold in a cell
 // is printed and passed over.
-func judge(t *testing.T, h *History, cell string, known []red, promises []Promise) string {
+func judge(t *testing.T, h *audit.History, cell string, known []red, promises []audit.Promise) string {
 	t.Helper()
 	mark := "ok"
 	for _, p := range promises {
-		broken := Check(h, p)
+		broken := audit.Check(h, p)
 		switch {
 		case broken == "":
-		case isRed(known, cell, Name(p)):
-			t.Logf("known red: %s: %s", Name(p), broken)
+		case isRed(known, cell, audit.Name(p)):
+			t.Logf("known red: %s: %s", audit.Name(p), broken)
 			mark = "red"
 		default:
-			t.Errorf("%s: %s", Name(p), broken)
+			t.Errorf("%s: %s", audit.Name(p), broken)
 			mark = "no"
 		}
 	}
--- a/proof/cells/procs_test.go
+++ b/proof/cells/procs_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/io/wire"
+	"anvilstand/proof/audit"
 )
 
 // Times of the trial with processes.
@@ -65,14 +66,16 @@
 	p.pause("store", time.Second)
 	p.fleet.tell(ctx, 0, opWithdraw, "withdraw key "+withdrawn)
 	<-ctx.Done()
-	h.ended = h.now()
+	h.Finish()
 	_ = g.Wait()
 	p.checkLogs()
-	judge(t, h, "all", readRed(t, t.Name()), []Promise{Own{}, Truth{}, Once{}, Rate{}, Key{}, Secret{}, Bound{}, Back{}})
+	judge(t, h, "all", readRed(t, t.Name()), []audit.Promise{
+		audit.Own{}, audit.Truth{}, audit.Once{}, audit.Rate{}, audit.Key{}, audit.Secret{}, audit.Bound{}, audit.Back{},
+	})
 	if broken := cutWithin(h, from, until); broken != "" {
 		t.Error("planned stop: ", broken)
 	}
-	t.Logf("%d requests sent, %d run", len(h.sent), len(h.ran))
+	t.Logf("%d requests sent, %d run", len(h.Sent()), len(h.Ran()))
 }
 
 func startProcs(t *testing.T) *procs {
@@ -175,7 +178,7 @@
 	p.t.Helper()
 	p.signal(name, syscall.SIGKILL)
 	_ = p.cmds[name].Wait()
-	p.fleet.history.strike(time.Second)
+	p.fleet.history.Strike(time.Second)
 	time.Sleep(time.Second)
 	p.start(name, "serve", "--settings", p.files[name])
 	time.Sleep(time.Second)
@@ -185,7 +188,7 @@
 func (p *procs) pause(name string, lasts time.Duration) {
 	p.t.Helper()
 	p.signal(name, syscall.SIGSTOP)
-	p.fleet.history.strike(lasts)
+	p.fleet.history.Strike(lasts)
 	time.Sleep(lasts)
 	p.signal(name, syscall.SIGCONT)
 	time.Sleep(time.Second)
@@ -194,7 +197,7 @@
 // stop makes a planned stop and returns when it began and ended.
 func (p *procs) stop(name string) (from, until time.Duration) {
 	p.t.Helper()
-	from = p.fleet.history.now()
+	from = p.fleet.history.Now()
 	p.signal(name, syscall.SIGTERM)
 	late := time.AfterFunc(2*procsGrace, func() { _ = p.cmds[name].Process.Kill() })
 	defer late.Stop()
@@ -202,24 +205,24 @@
 		p.t.Errorf("%s: planned stop: %v", name, err)
 	}
 	delete(p.cmds, name)
-	return from, p.fleet.history.now()
+	return from, p.fleet.history.Now()
 }
 
 // cutWithin finds a request that was cut, or whose run is unknown, and that
 // was under way within a time.
-func cutWithin(h *History, from, until time.Duration) string {
-	for _, s := range h.sent {
-		if s.until < from || s.from > until {
+func cutWithin(h *audit.History, from, until time.Duration) string {
+	for _, s := range h.Sent() {
+		if s.Until() < from || s.From() > until {
 			continue
 		}
-		switch end := s.end.(type) {
-		case Cut:
-			return fmt.Sprintf("request %s (%v to %v): %s", s.id, s.from, s.until, end.step)
-		case Refused:
-			if end.run != "not" {
-				return fmt.Sprintf("request %s (%v to %v): %s, run %s", s.id, s.from, s.until, end.reason, end.run)
+		switch end := s.End().(type) {
+		case audit.Cut:
+			return fmt.Sprintf("request %s (%v to %v): %s", s.ID(), s.From(), s.Until(), end.Step())
+		case audit.Refused:
+			if end.Run() != "not" {
+				return fmt.Sprintf("request %s (%v to %v): %s, run %s", s.ID(), s.From(), s.Until(), end.Reason(), end.Run())
 			}
-		case Whole, Unreached:
+		case audit.Whole, audit.Unreached:
 		}
 	}
 	return ""
@@ -230,7 +233,7 @@
 	defer p.mu.Unlock()
 	for _, key := range keys {
 		if bytes.Contains(p.output.Bytes(), []byte(key)) {
-			p.fleet.history.leak("the output of a process")
+			p.fleet.history.Leak("the output of a process")
 		}
 	}
 }
--- a/proof/cells/run.go
+++ b/proof/cells/run.go
@@ -1,3 +1,6 @@
+// Package cells proves the promises under faults: a small fleet of whole
+// daemons runs over a network in memory and in virtual time, a fault is placed
+// at a step of a protocol, and what happened is checked as a history.
 package cells
 
 import (
@@ -11,6 +14,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"anvilstand/core/model"
+	"anvilstand/proof/audit"
 	"anvilstand/proof/cable"
 )
 
@@ -27,6 +32,9 @@
 	return Cell{step: s, faults: faults, seed: seed}
 }
 
+// Name returns the name of a step or a fault.
+func Name(v any) string { return strings.TrimPrefix(fmt.Sprintf("%T", v), "cells.") }
+
 // Name returns the name of the cell.
 func (c Cell) Name() string {
 	names := make([]string, 0, len(c.faults))
@@ -55,6 +63,21 @@
 	opIn       = "in"
 )
 
+// outDomain is the failure domain that each cell takes out.
+const outDomain = model.Domain("south")
+
+// attempts is the retry budget of the fleet and the first attempt.
+const attempts = 4
+
+func plan() audit.Plan {
+	p := audit.Plan{}.WithMain(tenants[0].org, finale).WithAttempts(attempts).
+		WithWithdrawn(withdrawn, opWithdraw).WithOut(outDomain, opOut, opIn)
+	for _, t := range tenants {
+		p = p.WithLimit(t.org, t.rate, t.burst)
+	}
+	return p
+}
+
 // Times of a cell, from its start.
 const (
 	settled  = 3 * time.Second
@@ -69,17 +92,18 @@
 
 // Run runs a cell in the synctest bubble that it is called in, and returns its
 // history.
-func Run(c Cell) (*History, error) { return run(c, newFleet()) }
+func Run(c Cell) (*audit.History, error) { return run(c, newFleet()) }
 
-func run(c Cell, f *fleet) (*History, error) {
+func run(c Cell, f *fleet) (*audit.History, error) {
 	if err := f.start(); err != nil {
 		return nil, err
 	}
 	h := f.history
-	h.calm = !disturbs(c.step)
+	quiet := !disturbs(c.step)
 	for _, fault := range c.faults {
-		h.calm = h.calm && calm(fault)
+		quiet = quiet && calm(fault)
 	}
+	h.SetCalm(quiet)
 	ctx, cancel := context.WithTimeout(context.Background(), ends)
 	defer cancel()
 	g := &errgroup.Group{}
@@ -98,23 +122,23 @@
 	f.provoke(c.step)
 	f.change(ctx, g)
 	<-ctx.Done()
-	h.ended = h.now()
+	h.Finish()
 	_ = g.Wait()
 	f.inspect()
 	f.close()
 	return h, nil
 }
 
-func (f *fleet) until(t time.Duration) { time.Sleep(t - f.history.now()) }
+func (f *fleet) until(t time.Duration) { time.Sleep(t - f.history.Now()) }
 
 // arm places the cell's faults at its step.
 func (f *fleet) arm(c Cell) {
 	next, not := 0, time.Duration(0)
 	f.then(func(w cable.Write) cable.Act {
-		if next == len(c.faults) || f.history.now() < not || !f.happens(c.step, w) {
+		if next == len(c.faults) || f.history.Now() < not || !f.step(c.step, w) {
 			return nil
 		}
-		next, not = next+1, f.history.now()+second
+		next, not = next+1, f.history.Now()+second
 		return f.strike(c.faults[next-1], w)
 	})
 }
@@ -165,7 +189,7 @@
 func (f *fleet) inspect() {
 	for _, key := range keys {
 		if f.log.contains(key) {
-			f.history.leak("a log")
+			f.history.Leak("a log")
 		}
 	}
 	for _, n := range f.nodes {
@@ -176,7 +200,7 @@
 			}
 			for _, key := range keys {
 				if strings.Contains(text, key) {
-					f.history.leak(fmt.Sprint(n.name(), path))
+					f.history.Leak(fmt.Sprint(n.name(), path))
 				}
 			}
 		}
--- a/proof/cells/target.go
+++ b/proof/cells/target.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"anvilstand/proof/audit"
 	"anvilstand/proof/cable"
 )
 
@@ -59,14 +60,14 @@
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := t.node.fleet.history
 	id := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
-	from := h.now()
+	from := h.Now()
 	body, _ := io.ReadAll(r.Body)
 	t.inspect(r, body)
 	time.Sleep(takes)
 	if strings.HasPrefix(r.URL.Path, "/chain/") {
 		t.callOn(r, id)
 	}
-	h.addRan(Ran{id: id, domain: domains[t.node.n], from: from, until: h.now()})
+	h.AddRan(audit.NewRan(id, domains[t.node.n], from, h.Now()))
 	_, _ = fmt.Fprint(w, id, strings.Repeat(".", padding), ending)
 }
 
@@ -81,7 +82,7 @@
 	all := fmt.Sprint(r.URL.String(), r.Header, r.Trailer, string(body))
 	for _, key := range keys {
 		if strings.Contains(all, key) {
-			t.node.fleet.history.leak("target " + t.node.name())
+			t.node.fleet.history.Leak("target " + t.node.name())
 		}
 	}
 }
