Shares: pot, purse and desk as state machines, with a fleet in virtual time

Cause: rate/N refuses what is in rate as soon as traffic is skewed. Conclusion: the machines run; faults and tuning follow.

--- /dev/null
+++ b/core/share/sim_test.go
@@ -0,0 +1,520 @@
+package share
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+)
+
+// sim runs the desks and purses of a small fleet in virtual time, over a fake
+// network and a fake store with faults. Its time is in nanoseconds.
+type sim struct {
+	now      time.Duration
+	rnd      *rand.Rand
+	events   events
+	serial   int
+	nodes    []*node
+	config   *conf.Config
+	store    fakeStore
+	loss     float64 // part of the messages lost
+	twice    float64 // part of the messages that arrive twice
+	delay    time.Duration
+	spread   time.Duration // the largest additional delay
+	cut      func(from, to *node) bool
+	away     func(n *node) bool // whether the store cannot be reached
+	hold     time.Duration
+	keep     time.Duration // how long a request may wait for tokens
+	patient  bool          // also warm purses wait
+	load     map[model.Org]*traffic
+	messages int
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].n < e[j].n)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// node is one daemon.
+type node struct {
+	member  fleet.Member
+	desk    *Desk
+	purse   Purse
+	skew    float64 // the clock's rate against true time
+	born    time.Duration
+	paused  time.Duration
+	down    bool
+	ticks   int
+	waiting map[model.Org][]*request
+}
+
+type request struct {
+	org      model.Org
+	ideal    bool
+	done     bool
+	deadline time.Duration
+}
+
+// traffic is what an organisation sends, and what became of it.
+type traffic struct {
+	rate, burst, sends float64
+	share              func(t time.Duration, domain int) float64
+	ideal              Bucket
+	admitted           []time.Duration
+	arrivals           int
+	fair               int // arrivals that the ideal bucket admitted
+	refused            map[int]int
+	inRate             int
+	waits              int
+	waitsCold          int
+	lateRefusals       []time.Duration
+}
+
+type fakeStore struct {
+	records map[model.Org]Record
+	version map[model.Org]uint64
+	down    bool
+	slow    time.Duration
+	lost    float64
+	reads   int
+	writes  int
+}
+
+func (s *sim) at(t time.Duration, do func()) {
+	s.serial++
+	heap.Push(&s.events, event{at: t, n: s.serial, do: do})
+}
+
+func (s *sim) after(d time.Duration, do func()) { s.at(s.now+d, do) }
+
+func (s *sim) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+func newSim(seed uint64, domains, daemons int) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewPCG(seed, 1)), delay: 300 * time.Microsecond, spread: 400 * time.Microsecond,
+		keep: 50 * time.Millisecond, load: map[model.Org]*traffic{},
+		store: fakeStore{records: map[model.Org]Record{}, version: map[model.Org]uint64{}},
+	}
+	for i := range daemons {
+		d := model.Domain(fmt.Sprintf("d%d", i%domains))
+		m := fleet.NewMember(model.Instance(fmt.Sprintf("n%d", i)), d, "s", fmt.Sprintf("a%d", i))
+		s.nodes = append(s.nodes, &node{member: m})
+	}
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) start(n *node) {
+	process := model.Incarnation(s.rnd.Uint64()>>1 + 1)
+	n.member = n.member.WithIncarnation(process)
+	n.skew = 0.995 + 0.01*s.rnd.Float64()
+	n.born, n.down, n.waiting = s.now, false, map[model.Org][]*request{}
+	n.purse = Purse{}
+	self := NewHolder(n.member.Name(), n.member.Address(), process)
+	n.desk = NewDesk(self, n.member.Domain(), s.hold, s.rnd.Uint64())
+	if s.config != nil {
+		s.configure()
+	}
+	s.after(time.Duration(s.rnd.Int64N(int64(Tick))), func() { s.tick(n, process) })
+}
+
+func (s *sim) configure() {
+	var members []fleet.Member
+	for _, n := range s.nodes {
+		members = append(members, n.member)
+	}
+	for _, n := range s.nodes {
+		n.desk.Configure(s.clock(n), s.config, members)
+	}
+}
+
+// orgs sets the organisations of the trial's profiles, their rates times scale.
+func (s *sim) orgs(scale float64, list map[model.Org]*traffic) {
+	draft := conf.Edit(&conf.Config{})
+	for name, l := range list {
+		l.refused = map[int]int{}
+		l.ideal.Set(0, l.rate*scale, l.burst*scale)
+		l.ideal.tokens = l.burst * scale
+		l.rate, l.burst, l.sends = l.rate*scale, l.burst*scale, l.sends*scale
+		draft.PutOrg(name, conf.Org{}.WithRate(l.rate, l.burst))
+		s.load[name] = l
+	}
+	s.config = draft.Commit(1)
+	s.configure()
+}
+
+func (s *sim) clock(n *node) model.Instant {
+	return model.Instant(float64(s.now-n.born) * n.skew).Add(time.Second)
+}
+
+func (s *sim) tick(n *node, process model.Incarnation) {
+	if n.down || n.member.Incarnation() != process {
+		return
+	}
+	if s.now < n.paused {
+		s.at(n.paused, func() { s.tick(n, process) })
+		return
+	}
+	n.ticks++
+	s.collect(n, n.ticks%reportTicks == 0)
+	var out Outbox
+	n.desk.Tick(s.clock(n), &out)
+	s.act(n, &out)
+	s.after(Tick, func() { s.tick(n, process) })
+}
+
+func (s *sim) collect(n *node, all bool) {
+	var needs Needs
+	n.purse.Collect(s.clock(n), all, &needs)
+	var out Outbox
+	for _, need := range needs.List() {
+		n.desk.Want(s.clock(n), need, &out)
+	}
+	s.act(n, &out)
+}
+
+func (s *sim) act(n *node, out *Outbox) {
+	for _, a := range out.Actions() {
+		switch a := a.(type) {
+		case Send:
+			s.send(n, a.address, a.message)
+		case Read:
+			s.call(n, a.org, a.op, func() Outcome { return nil })
+		case Swap:
+			s.call(n, a.org, a.op, func() Outcome { return s.store.swap(a) })
+		case Credit:
+			n.purse.Put(s.clock(n), a.org, a.lump)
+			s.retry(n, a.org)
+		case Dry:
+			n.purse.Dry(a.org, a.until)
+		}
+	}
+}
+
+func (f *fakeStore) swap(a Swap) Outcome {
+	f.writes++
+	if f.version[a.org] != a.version {
+		return Stale{}
+	}
+	if !a.record.Valid() {
+		panic(fmt.Sprint("record is not valid: ", a.record))
+	}
+	f.version[a.org]++
+	f.records[a.org] = a.record
+	return NewDone(f.version[a.org])
+}
+
+// call runs a store call: the effect comes after a delay, the answer after
+// another, if at all.
+func (s *sim) call(n *node, org model.Org, op uint64, effect func() Outcome) {
+	process := n.member.Incarnation()
+	answer := func(f func(out *Outbox)) {
+		s.deliver(n, process, s.latency()+s.store.slow, func() {
+			var out Outbox
+			f(&out)
+			s.act(n, &out)
+		})
+	}
+	lost := func(out *Outbox) { n.desk.Stored(s.clock(n), org, op, Lost{}, out) }
+	s.after(time.Millisecond+s.store.slow, func() {
+		if s.store.down || (s.away != nil && s.away(n)) {
+			answer(lost)
+			return
+		}
+		outcome := effect()
+		version, record := s.store.version[org], s.store.records[org]
+		if s.rnd.Float64() < s.store.lost {
+			answer(lost)
+			return
+		}
+		answer(func(out *Outbox) {
+			if outcome != nil {
+				n.desk.Stored(s.clock(n), org, op, outcome, out)
+				return
+			}
+			s.store.reads++
+			n.desk.Loaded(s.clock(n), org, op, version, record, out)
+		})
+	})
+}
+
+func (s *sim) latency() time.Duration {
+	return s.delay + time.Duration(s.rnd.Int64N(int64(s.spread)+1))
+}
+
+func (s *sim) send(from *node, address string, m Message) {
+	s.messages++
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.member.Address() == address })
+	to := s.nodes[i]
+	if s.cut != nil && s.cut(from, to) {
+		return
+	}
+	if to.down {
+		// The address refuses the connection, which proves the end of the
+		// process that the roster has there.
+		ended, process := to.member.Incarnation(), from.member.Incarnation()
+		s.deliver(from, process, s.latency(), func() { from.desk.Bury(ended) })
+		return
+	}
+	if s.rnd.Float64() < s.loss {
+		return
+	}
+	copies := 1
+	if s.rnd.Float64() < s.twice {
+		copies = 2
+	}
+	for range copies {
+		s.deliver(to, to.member.Incarnation(), s.latency(), func() {
+			var out Outbox
+			to.desk.Hear(s.clock(to), m, &out)
+			s.act(to, &out)
+		})
+	}
+}
+
+// deliver runs f at a process after d, or later when it is paused then.
+func (s *sim) deliver(n *node, process model.Incarnation, d time.Duration, f func()) {
+	s.after(d, func() {
+		if n.down || n.member.Incarnation() != process {
+			return
+		}
+		if s.now < n.paused {
+			s.deliver(n, process, n.paused-s.now, f)
+			return
+		}
+		f()
+	})
+}
+
+// arrive sends the requests of an organisation from now until an end.
+func (s *sim) arrive(org model.Org, until time.Duration) {
+	l := s.load[org]
+	gap := time.Duration(s.rnd.ExpFloat64() / l.sends * float64(time.Second))
+	if s.now+gap > until {
+		return
+	}
+	s.after(gap, func() {
+		if n := s.entry(l); n != nil {
+			s.request(n, org, l)
+		}
+		s.arrive(org, until)
+	})
+}
+
+// entry draws the daemon that a request comes to, by the shares of the domains.
+func (s *sim) entry(l *traffic) *node {
+	draw := s.rnd.Float64()
+	var up []*node
+	domain := 0
+	for d := 0; d < 3; d++ {
+		share := 1.0 / 3
+		if l.share != nil {
+			share = l.share(s.now, d)
+		}
+		if draw -= share; draw < 0 {
+			domain = d
+			break
+		}
+	}
+	for _, n := range s.nodes {
+		if !n.down && s.now >= n.paused && n.member.Domain() == model.Domain(fmt.Sprintf("d%d", domain)) {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[s.rnd.IntN(len(up))]
+}
+
+func (s *sim) request(n *node, org model.Org, l *traffic) {
+	l.arrivals++
+	r := &request{org: org, ideal: l.ideal.Spend(model.Instant(s.now)) == nil, deadline: s.now + s.keep}
+	if r.ideal {
+		l.fair++
+	}
+	err := n.purse.Spend(s.clock(n), org)
+	if n.purse.IsLow(s.clock(n), org) {
+		s.after(50*time.Microsecond, func() { s.collect(n, false) })
+	}
+	if err == nil {
+		l.admitted = append(l.admitted, s.now)
+		return
+	}
+	var refusal *model.Refusal
+	cold := errors.As(err, &refusal) && refusal.Reason() == model.NoShare{}
+	if (cold || s.patient) && !n.purse.IsDry(s.clock(n), org) && s.keep > 0 {
+		l.waits++
+		if cold {
+			l.waitsCold++
+		}
+		n.waiting[org] = append(n.waiting[org], r)
+		process := n.member.Incarnation()
+		s.deliver(n, process, s.keep, func() { s.refuse(l, r) })
+		return
+	}
+	s.refuse(l, r)
+}
+
+func (s *sim) refuse(l *traffic, r *request) {
+	if r.done {
+		return
+	}
+	r.done = true
+	if r.ideal {
+		l.inRate++
+		l.lateRefusals = append(l.lateRefusals, s.now)
+	}
+}
+
+func (s *sim) retry(n *node, org model.Org) {
+	l := s.load[org]
+	for len(n.waiting[org]) > 0 {
+		r := n.waiting[org][0]
+		if !r.done {
+			if n.purse.Again(s.clock(n), org) != nil {
+				return
+			}
+			r.done = true
+			l.admitted = append(l.admitted, s.now)
+		}
+		n.waiting[org] = n.waiting[org][1:]
+	}
+}
+
+// worst returns the most tokens that any window of the history has above
+// rate*t + burst. It is at most zero when the promise held.
+func (l *traffic) worst() float64 {
+	low, worst := 0.0, -l.burst
+	for i, t := range l.admitted {
+		f := float64(i) - l.rate*t.Seconds()
+		if i == 0 || f < low {
+			low = f
+		}
+		worst = max(worst, f-low+1-l.burst)
+	}
+	return worst
+}
+
+func (s *sim) check(t *testing.T) {
+	t.Helper()
+	for name, l := range s.load {
+		if over := l.worst(); over > 1e-6 {
+			t.Errorf("%s exceeded rate*t + burst by %.2f", name, over)
+		}
+	}
+}
+
+// inRate returns the part of the requests that the ideal bucket admitted and
+// the fleet refused, and the greatest such part of one organisation.
+func (s *sim) inRate() (all, worst float64) {
+	refused, fair := 0, 0
+	for _, l := range s.load {
+		refused += l.inRate
+		fair += l.fair
+		worst = max(worst, float64(l.inRate)/float64(max(1, l.fair)))
+	}
+	return float64(refused) / float64(max(1, fair)), worst
+}
+
+func (s *sim) waits() (waits, cold, arrivals int) {
+	for _, l := range s.load {
+		waits += l.waits
+		cold += l.waitsCold
+		arrivals += l.arrivals
+	}
+	return waits, cold, arrivals
+}
+
+const reportTicks = 10
+
+// eight are the organisations of both profiles.
+func eight(share func(time.Duration, int) float64) map[model.Org]*traffic {
+	all := map[model.Org]*traffic{
+		"large1": {rate: 200, burst: 100, sends: 150, share: share},
+		"large2": {rate: 150, burst: 75, sends: 110, share: share},
+	}
+	for i := range 6 {
+		all[model.Org(fmt.Sprintf("small%d", i+1))] = &traffic{rate: 40, burst: 40, sends: 10, share: share}
+	}
+	return all
+}
+
+func skewed(t time.Duration, d int) float64 {
+	if int(t/(10*time.Second))%3 == d {
+		return 0.9
+	}
+	return 0.05
+}
+
+func (s *sim) traffic(from, until time.Duration) {
+	for _, name := range s.config.Orgs() {
+		s.at(from, func() { s.arrive(name, until) })
+	}
+}
+
+func TestSimFirst(t *testing.T) {
+	for _, share := range []func(time.Duration, int) float64{nil, skewed} {
+		for _, patient := range []bool{false, true} {
+			s := newSim(1, 3, 13)
+			s.patient = patient
+			s.orgs(1, eight(share))
+			s.run(3 * time.Second)
+			s.traffic(3*time.Second, 63*time.Second)
+			s.run(64 * time.Second)
+			s.check(t)
+			all, worst := s.inRate()
+			w, c, n := s.waits()
+			t.Logf("patient=%v inrate %.5f worst %.5f waits %d cold %d of %d msgs %d reads %d writes %d", patient, all, worst, w, c, n, s.messages, s.store.reads, s.store.writes)
+		}
+	}
+}
+
+// TestDebugRefusals is for tuning.
+func TestDebugRefusals(t *testing.T) {
+	s := newSim(1, 3, 13)
+	s.patient = true
+	s.orgs(1, eight(skewed))
+	s.run(3 * time.Second)
+	s.traffic(3*time.Second, 63*time.Second)
+	s.run(64 * time.Second)
+	for name, l := range s.load {
+		h := map[int]int{}
+		for _, at := range l.lateRefusals {
+			h[int(at/time.Second)]++
+		}
+		t.Log(name, l.arrivals, l.fair, len(l.admitted), l.inRate, h)
+	}
+}
--- /dev/null
+++ b/core/share/store.go
@@ -0,0 +1,147 @@
+package share
+
+import "anvilstand/core/model"
+
+// Outcome is how a store call ended.
+//
+//sumtype:decl
+type Outcome interface{ isOutcome() }
+
+// Members of Outcome.
+type (
+	// Done is a swap that took effect.
+	Done struct{ version uint64 }
+	// Stale is a swap that found another version and changed nothing.
+	Stale struct{}
+	// Lost is a call without an answer. A swap may have taken effect.
+	Lost struct{}
+)
+
+func (Done) isOutcome()  {}
+func (Stale) isOutcome() {}
+func (Lost) isOutcome()  {}
+
+// NewDone returns the outcome of a swap that wrote a version.
+func NewDone(version uint64) Done { return Done{version: version} }
+
+// Loaded takes the answer to a Read. Version zero means that there is no
+// record.
+func (d *Desk) Loaded(now model.Instant, org model.Org, op, version uint64, r Record, out *Outbox) {
+	a := d.accounts[org]
+	if a == nil || a.store.op != op {
+		return
+	}
+	sent := a.store.sent
+	a.store = call{}
+	if version < a.version || !r.Valid() {
+		a.due = now.Add(d.jitter(retryMean))
+		return
+	}
+	before := a.version
+	d.adopt(now, a, version, r)
+	d.confirm(a, sent)
+	if a.version > before {
+		d.spread(a, out)
+	}
+}
+
+// Stored takes the answer to a Swap, or to a Read that failed.
+func (d *Desk) Stored(now model.Instant, org model.Org, op uint64, o Outcome, out *Outbox) {
+	a := d.accounts[org]
+	if a == nil || a.store.op != op {
+		return
+	}
+	sent := a.store.sent
+	a.store = call{}
+	switch o := o.(type) {
+	case Done:
+		d.adopt(now, a, o.version, a.claimed.record)
+		d.confirm(a, sent)
+		d.spread(a, out)
+	case Stale:
+		d.read(now, a, out)
+	case Lost:
+		a.due = now.Add(d.jitter(retryMean))
+		if a.claimed.active {
+			d.read(now, a, out)
+		}
+	}
+}
+
+// confirm lengthens the own title: its holder found it in the record, without
+// a notice, by a call that began at sent.
+func (d *Desk) confirm(a *account, sent model.Instant) {
+	t, ok := a.record.Title(d.domain)
+	if ok && a.mine != nil && t.holder.process == d.self.process && !t.notice {
+		a.mine.confirmed = max(a.mine.confirmed, sent)
+	}
+}
+
+// adopt takes a record that is not older than the one known.
+func (d *Desk) adopt(now model.Instant, a *account, version uint64, r Record) {
+	c, changed := a.claimed, version != a.version
+	if changed {
+		a.vacant, a.claimed = 0, claim{}
+		if _, ok := r.Title(d.domain); ok {
+			a.noticed = 0
+		}
+	}
+	a.known, a.version, a.record = true, version, r
+	t, ok := r.Title(d.domain)
+	if !ok || t.holder.process != d.self.process {
+		a.mine = nil
+		return
+	}
+	own := c.active && version == c.version+1
+	if a.mine != nil && changed {
+		d.reweigh(now, a, t, c, own)
+	}
+	if a.mine != nil {
+		return
+	}
+	d.open(now, a, t, c, own)
+}
+
+// open starts the pot of a title that was gained. When the swap that gained it
+// is not known for certain, the pot starts as if all were outstanding.
+func (d *Desk) open(now model.Instant, a *account, t Title, c claim, own bool) {
+	if !own {
+		c = claim{assumed: a.part(a.burst, t.weight)}
+	}
+	a.mine = &tenure{confirmed: c.sent}
+	a.weigh(now, t.weight)
+	a.mine.pot.Open(now, c.level, c.assumed, now.Add(model.Guard(Life)), d.rnd.Uint64()>>1)
+}
+
+// reweigh follows the weight in a record that has changed. While it has not, a
+// swap that lowers the weight may still be under way, and what was lowered here
+// stays lowered.
+func (d *Desk) reweigh(now model.Instant, a *account, t Title, c claim, own bool) {
+	if t.weight == a.mine.weight {
+		return
+	}
+	a.weigh(now, t.weight)
+	if own {
+		a.mine.pot.Add(now, c.add)
+	}
+}
+
+// spread tells a changed record to those who ask for tokens: the own domain's
+// members and the other holders.
+func (d *Desk) spread(a *account, out *Outbox) {
+	t, _ := a.record.Title(d.domain)
+	if a.mine == nil && !d.leaving && t.holder.process != d.self.process {
+		return
+	}
+	k := NewKnown(a.org, 0, d.self, a.version, a.record)
+	for _, m := range d.members {
+		if m.Name() != d.self.name {
+			out.add(Send{address: m.Address(), message: k})
+		}
+	}
+	for _, o := range a.record.titles {
+		if o.domain != d.domain && o.holder.process != 0 && o.holder.process != d.self.process {
+			out.add(Send{address: o.holder.address, message: k})
+		}
+	}
+}
