Shares in the daemon: titles in the store, lumps over the links

Cause: the daemon held each organisation to rate/N. Change: the control loop runs the desk, a worker makes its store calls, and the traffic spends from a purse. Only the first request of an organisation at a daemon waits for an answer. A setting, hold, says how long titles last without contact to the store.

--- a/core/share/hold.go
+++ b/core/share/hold.go
@@ -207,7 +207,10 @@
 	if a.version == 0 {
 		weight = d.target(a)
 	}
-	if weight == 0 || now.Sub(d.settled) < settleTime {
+	if now.Sub(d.settled) < settleTime {
+		return
+	}
+	if weight == 0 {
 		if a.rank < candidates {
 			d.reread(now, a, out)
 		}
@@ -242,7 +245,7 @@
 func (d *Desk) doubt(now model.Instant, a *account, t Title, out *Outbox) {
 	if a.rank < candidates && now.Sub(a.polled) >= pollEvery {
 		a.polled = now
-		d.ask(now, a, t.domain, t.holder, t.holder.process, nil, out)
+		d.poll(now, a, t, out)
 	}
 	if !t.notice {
 		a.noticed = 0
--- a/core/share/take.go
+++ b/core/share/take.go
@@ -14,6 +14,7 @@
 	to     Holder
 	sent   model.Instant
 	late   bool // another was asked in the meantime
+	poll   bool // only a sign of life is asked for
 }
 
 // round is one need of tokens, brought to one holder after the other.
@@ -91,6 +92,13 @@
 	d.send(now, to, m, out)
 }
 
+// poll asks a holder for a sign of life.
+func (d *Desk) poll(now model.Instant, a *account, t Title, out *Outbox) {
+	d.seq++
+	a.asks = append(a.asks, ask{seq: d.seq, domain: t.domain, to: t.holder, sent: now, poll: true})
+	d.send(now, t.holder, NewAsk(a.org, d.seq, d.self, t.holder.process, a.version, 0, nil), out)
+}
+
 // choose picks the title to ask next: the own domain's, unless it was just
 // found empty, else the one that had most. A silent holder is asked only when
 // there is no other.
@@ -185,7 +193,7 @@
 		a.round.got += g.tokens
 	}
 	a.unknown = 0
-	if !k.late {
+	if !k.late && !k.poll {
 		d.proceed(now, a, out)
 	}
 }
@@ -215,28 +223,28 @@
 	if q.domain != "" && q.to.address == k.by.address && q.to.process != k.by.process {
 		d.Bury(q.to.process)
 	}
-	if q.domain == "" {
-		a.round.tried = nil
+	if q.late || q.poll {
+		return
 	}
-	if !q.late && (q.domain != "" || k.version > 0) {
-		d.proceed(now, a, out)
+	if q.domain == "" && k.version > 0 {
+		a.round.tried = nil
 	}
+	d.proceed(now, a, out)
 }
 
 // overdue gives up asks that were not answered.
 func (d *Desk) overdue(now model.Instant, a *account, out *Outbox) {
 	a.asks = slices.DeleteFunc(a.asks, func(k ask) bool { return now.Sub(k.sent) >= Life })
-	again := false
+	pending := false
 	for i := range a.asks {
 		k := &a.asks[i]
-		if k.late || now.Sub(k.sent) < answerWait {
-			continue
+		if !k.late && now.Sub(k.sent) >= answerWait {
+			k.late = true
+			a.missed(now, *k)
 		}
-		k.late = true
-		a.missed(now, *k)
-		again = true
+		pending = pending || (!k.late && !k.poll)
 	}
-	if again && a.round.want > 0 {
+	if a.round.want > 0 && !pending {
 		d.proceed(now, a, out)
 	}
 }
--- a/core/spread/hear.go
+++ b/core/spread/hear.go
@@ -28,6 +28,8 @@
 		n.hearAnnounce(now, p, m.Member(), out)
 	case peer.Gone:
 		n.hearGone(now, m, out)
+	case peer.Share:
+		return false, nil
 	}
 	return true, nil
 }
--- a/io/codec/message.go
+++ b/io/codec/message.go
@@ -28,6 +28,8 @@
 		return encodeAnnounce(m.Member())
 	case peer.Gone:
 		return encodeGone(m)
+	case peer.Share:
+		return encodeShare(m.Message())
 	}
 	return nil, errors.Wrap(ErrForm, "encode message")
 }
@@ -64,6 +66,8 @@
 		return decodeAnnounce(body)
 	case kindGone:
 		return decodeGone(body)
+	case kindAsk, kindGrant, kindKnown:
+		return decodeShare(k, body)
 	}
 	return nil, errors.Wrap(ErrForm, "kind is not known")
 }
--- /dev/null
+++ b/io/codec/share.go
@@ -0,0 +1,198 @@
+package codec
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/core/share"
+)
+
+// Kinds of the messages between desks.
+const (
+	kindAsk   kind = 40
+	kindGrant kind = 41
+	kindKnown kind = 42
+)
+
+func encodeShare(m share.Message) ([]byte, error) {
+	switch m := m.(type) {
+	case share.Ask:
+		return encodeAsk(m)
+	case share.Grant:
+		return sealKind(kindGrant, m.Org(), m.Seq(), m.Domain(), holderParts(m.By()), m.ID(), m.Tokens(), m.Level())
+	case share.Known:
+		return sealKind(kindKnown, m.Org(), m.Seq(), holderParts(m.By()), m.Version(), recordParts(m.Record()))
+	}
+	return nil, errors.Wrap(ErrForm, "encode share message")
+}
+
+func encodeAsk(m share.Ask) ([]byte, error) {
+	uses := make([]any, 0, len(m.Uses()))
+	for _, u := range m.Uses() {
+		uses = append(uses, []any{u.ID(), u.Spent(), u.Closed()})
+	}
+	return sealKind(kindAsk, m.Org(), m.Seq(), holderParts(m.From()), m.To(), m.Version(), m.Want(), uses)
+}
+
+func holderParts(h share.Holder) []any { return []any{h.Name(), h.Address(), h.Process()} }
+
+func recordParts(r share.Record) []any {
+	titles := make([]any, 0, len(r.Titles()))
+	for _, t := range r.Titles() {
+		titles = append(titles, []any{t.Domain(), holderParts(t.Holder()), t.Weight(), t.Level(), t.Notice()})
+	}
+	return []any{titles, r.Fresh()}
+}
+
+func decodeShare(k kind, body []byte) (peer.Message, error) {
+	var (
+		m   share.Message
+		err error
+	)
+	switch k {
+	case kindAsk:
+		m, err = decodeAsk(body)
+	case kindGrant:
+		m, err = decodeGrant(body)
+	case kindKnown:
+		m, err = decodeKnown(body)
+	default:
+		err = errors.Wrap(ErrForm, "kind is not known")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewShare(m), nil
+}
+
+func decodeAsk(body []byte) (share.Message, error) {
+	var (
+		org          model.Org
+		seq, version uint64
+		from         cbor.RawMessage
+		to           model.Incarnation
+		want         int
+		packed       []cbor.RawMessage
+	)
+	if err := unpack(body, &org, &seq, &from, &to, &version, &want, &packed); err != nil {
+		return nil, err
+	}
+	by, err := decodeHolder(from)
+	if err != nil {
+		return nil, err
+	}
+	uses := make([]share.Use, 0, len(packed))
+	for _, p := range packed {
+		var (
+			id     uint64
+			spent  int
+			closed bool
+		)
+		if err := unpack(p, &id, &spent, &closed); err != nil {
+			return nil, err
+		}
+		uses = append(uses, share.NewUse(id, spent, closed))
+	}
+	return share.NewAsk(org, seq, by, to, version, want, uses), nil
+}
+
+func decodeGrant(body []byte) (share.Message, error) {
+	var (
+		org     model.Org
+		seq, id uint64
+		domain  model.Domain
+		from    cbor.RawMessage
+		tokens  int
+		level   float64
+	)
+	if err := unpack(body, &org, &seq, &domain, &from, &id, &tokens, &level); err != nil {
+		return nil, err
+	}
+	by, err := decodeHolder(from)
+	return share.NewGrant(org, seq, domain, by, id, tokens, level), err
+}
+
+func decodeKnown(body []byte) (share.Message, error) {
+	var (
+		org          model.Org
+		seq, version uint64
+		from, packed cbor.RawMessage
+	)
+	if err := unpack(body, &org, &seq, &from, &version, &packed); err != nil {
+		return nil, err
+	}
+	by, err := decodeHolder(from)
+	if err != nil {
+		return nil, err
+	}
+	r, err := decodeRecord(packed)
+	return share.NewKnown(org, seq, by, version, r), err
+}
+
+func decodeHolder(data []byte) (share.Holder, error) {
+	var (
+		name    model.Instance
+		address string
+		process model.Incarnation
+	)
+	err := unpack(data, &name, &address, &process)
+	return share.NewHolder(name, address, process), err
+}
+
+// EncodeRecord encodes the titles of an organisation.
+func EncodeRecord(r share.Record) ([]byte, error) {
+	return seal(recordParts(r))
+}
+
+// DecodeRecord decodes the titles of an organisation.
+func DecodeRecord(data []byte) (share.Record, error) {
+	var packed cbor.RawMessage
+	if err := open(data, &packed); err != nil {
+		return share.Record{}, errors.Wrap(err, "decode titles")
+	}
+	r, err := decodeRecord(packed)
+	if err != nil {
+		return share.Record{}, errors.Wrap(err, "decode titles")
+	}
+	return r, nil
+}
+
+func decodeRecord(data []byte) (share.Record, error) {
+	var (
+		packed []cbor.RawMessage
+		fresh  int
+	)
+	if err := unpack(data, &packed, &fresh); err != nil {
+		return share.Record{}, err
+	}
+	titles := make([]share.Title, 0, len(packed))
+	for i, p := range packed {
+		t, err := decodeTitle(p)
+		if err != nil {
+			return share.Record{}, errors.Wrapf(err, "title %d", i+1)
+		}
+		titles = append(titles, t)
+	}
+	r := share.NewRecord(titles, fresh)
+	if !r.Valid() {
+		return share.Record{}, errors.Wrap(ErrForm, "weights are out of range")
+	}
+	return r, nil
+}
+
+func decodeTitle(data []byte) (share.Title, error) {
+	var (
+		domain model.Domain
+		packed cbor.RawMessage
+		weight int
+		level  float64
+		notice bool
+	)
+	if err := unpack(data, &domain, &packed, &weight, &level, &notice); err != nil {
+		return share.Title{}, err
+	}
+	h, err := decodeHolder(packed)
+	return share.NewTitle(domain, h, weight, level, notice), err
+}
--- /dev/null
+++ b/io/codec/share_test.go
@@ -0,0 +1,68 @@
+package codec_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/peer"
+	"anvilstand/core/share"
+	"anvilstand/io/codec"
+)
+
+var (
+	holder = share.NewHolder("stock-1", "127.0.0.1:7002", 77)
+	record = share.NewRecord([]share.Title{
+		share.NewTitle("north", holder, 333_333, 0, true),
+		share.NewTitle("east", share.Holder{}, 333_333, 4.5, false),
+	}, 333_334)
+)
+
+func TestShareMessages(t *testing.T) {
+	cases := map[string]share.Message{
+		"ask":        share.NewAsk("acme", 5, holder, 9, 3, 7, []share.Use{share.NewUse(1, 2, true), share.NewUse(3, 0, false)}),
+		"report":     share.NewAsk("acme", 0, holder, 9, 3, 0, nil),
+		"grant":      share.NewGrant("acme", 5, "north", holder, 8, 4, 2.25),
+		"known":      share.NewKnown("acme", 0, holder, 4, record),
+		"known none": share.NewKnown("acme", 6, holder, 0, share.Record{}),
+	}
+	for name, m := range cases {
+		t.Run(name, func(t *testing.T) {
+			data, err := codec.EncodeMessage(peer.NewShare(m))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := codec.DecodeMessage(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := codec.EncodeMessage(got)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(data, again); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestRecordRefused(t *testing.T) {
+	cases := map[string]share.Record{
+		"above the whole": share.NewRecord([]share.Title{share.NewTitle("a", holder, share.Whole+1, 0, false)}, 0),
+		"fresh too large": share.NewRecord([]share.Title{share.NewTitle("a", holder, share.Whole, 0, false)}, 1),
+		"two of a domain": share.NewRecord([]share.Title{share.NewTitle("a", holder, 1, 0, false), share.NewTitle("a", holder, 1, 0, false)}, 0),
+		"negative weight": share.NewRecord([]share.Title{share.NewTitle("a", holder, -1, 0, false)}, 0),
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			data, err := codec.EncodeRecord(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := codec.DecodeRecord(data); err == nil {
+				t.Error("a record out of range was taken")
+			}
+		})
+	}
+}
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -92,15 +92,24 @@
 		return l.hear(now, c.post, out)
 	case Proven:
 		l.node.Prove(now, c.address, c.process, out)
+		l.shares.desk.Bury(c.process)
 	case Depart:
 		l.node.Depart(now, out)
+		l.resign(now, out)
+	case Recorded:
+		l.recorded(now, c, out)
+	case Settled:
+		l.settled(now, c, out)
 	}
 	return nil
 }
 
 // hear takes a message of another daemon.
 func (l *Loop) hear(now model.Instant, p peer.Post, out *peer.Outbox) error {
-	_, err := l.node.Hear(now, p, out)
+	taken, err := l.node.Hear(now, p, out)
+	if !taken {
+		l.hearShare(now, p.Message(), out)
+	}
 	return err
 }
 
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -10,6 +10,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/core/share"
 	"anvilstand/core/spread"
 	"anvilstand/io/clock"
 )
@@ -47,6 +48,7 @@
 	refused uint64
 	// written is the revision of the newest base known to be in the store.
 	written model.Revision
+	shares  shares
 }
 
 type envelope struct {
@@ -61,6 +63,7 @@
 		inbox: make(chan envelope, waiting), change: make(chan struct{}),
 		clock: clock.New(), node: spread.New(self, p, seeds),
 	}
+	l.shares = newShares(self, l.clock)
 	l.publish(l.clock.Now())
 	return l
 }
@@ -69,6 +72,8 @@
 func (l *Loop) Run(ctx context.Context, s Sender) error {
 	t := time.NewTimer(0)
 	defer t.Stop()
+	shareTick := time.NewTicker(share.Tick)
+	defer shareTick.Stop()
 	for {
 		var out peer.Outbox
 		select {
@@ -77,15 +82,24 @@
 		case e := <-l.inbox:
 			now := l.clock.Now()
 			err := l.handle(now, e.command, &out)
-			l.publish(now)
+			l.configure(now)
+			if !isShare(e.command) {
+				l.publish(now)
+			}
 			if e.reply != nil {
 				e.reply <- err
 			}
 		case <-t.C:
 			now := l.clock.Now()
 			l.tick(now, &out)
+			l.configure(now)
+			l.survey(now)
 			l.publish(now)
 			t.Reset(untilTick())
+		case <-shareTick.C:
+			l.tickShares(l.clock.Now(), &out)
+		case <-l.shares.purse.low:
+			l.fill(l.clock.Now(), false, &out)
 		}
 		l.send(s, &out)
 	}
--- /dev/null
+++ b/io/ctrl/purse.go
@@ -0,0 +1,106 @@
+package ctrl
+
+import (
+	"sync"
+
+	"anvilstand/core/model"
+	"anvilstand/core/share"
+	"anvilstand/io/clock"
+)
+
+// Purse lets the traffic goroutines spend shares, and the control goroutine
+// fill them. Its lock is held for a few lines of arithmetic.
+type Purse struct {
+	clock clock.Clock
+	low   chan struct{}
+	mu    sync.Mutex
+	core  share.Purse
+	news  map[model.Org]chan struct{}
+}
+
+func newPurse(c clock.Clock) *Purse {
+	return &Purse{clock: c, low: make(chan struct{}, 1), news: map[model.Org]chan struct{}{}}
+}
+
+// Spend takes one token of an organisation, or fails with a *model.Refusal:
+// NoShare when nothing was heard from the holders yet, OverRate when there is
+// no token.
+func (p *Purse) Spend(org model.Org) error {
+	return p.spend(org, p.core.Spend)
+}
+
+// Again tries once more for a request that Spend failed for.
+func (p *Purse) Again(org model.Org) error {
+	return p.spend(org, p.core.Again)
+}
+
+func (p *Purse) spend(org model.Org, take func(model.Instant, model.Org) error) error {
+	for {
+		until, err := p.take(org, take)
+		// A process that was paused after the decision finds its token lapsed.
+		if err != nil || p.clock.Now().Before(until) {
+			return err
+		}
+		take = p.core.Again
+	}
+}
+
+func (p *Purse) take(org model.Org, take func(model.Instant, model.Org) error) (model.Instant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	err := take(now, org)
+	if p.core.IsLow(now, org) {
+		select {
+		case p.low <- struct{}{}:
+		default:
+		}
+	}
+	return p.core.Deadline(), err
+}
+
+// News returns a channel that is closed when something is heard from the
+// holders of an organisation's titles.
+func (p *Purse) News(org model.Org) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.news[org]
+	if !ok {
+		c = make(chan struct{})
+		p.news[org] = c
+	}
+	return c
+}
+
+func (p *Purse) tell(org model.Org) {
+	if c, ok := p.news[org]; ok {
+		close(c)
+		delete(p.news, org)
+	}
+}
+
+func (p *Purse) put(org model.Org, l share.Lump) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Put(p.clock.Now(), org, l)
+	p.tell(org)
+}
+
+func (p *Purse) dry(org model.Org, until model.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Dry(org, until)
+	p.tell(org)
+}
+
+func (p *Purse) collect(all bool, n *share.Needs) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Collect(p.clock.Now(), all, n)
+}
+
+func (p *Purse) giveBack(n *share.Needs) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Return(n)
+}
--- /dev/null
+++ b/io/ctrl/share.go
@@ -0,0 +1,201 @@
+package ctrl
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/core/share"
+	"anvilstand/io/clock"
+)
+
+// shares is the part of the control state that holds organisations to their
+// rates.
+type shares struct {
+	desk   *share.Desk
+	purse  *Purse
+	calls  chan share.Action
+	config *conf.Config
+	roster uint64
+	ticks  int
+	states []share.State
+}
+
+const (
+	// reportTicks is the number of share ticks between two reports of what was
+	// spent.
+	reportTicks = 4
+	// queuedCalls is how many store calls wait for a worker.
+	queuedCalls = 1024
+)
+
+func newShares(self fleet.Member, c clock.Clock) shares {
+	s := shares{purse: newPurse(c), calls: make(chan share.Action, queuedCalls)}
+	s.open(self, 0)
+	return s
+}
+
+func (s *shares) open(self fleet.Member, hold time.Duration) {
+	h := share.NewHolder(self.Name(), self.Address(), self.Incarnation())
+	s.desk = share.NewDesk(h, self.Domain(), hold, rand.Uint64())
+}
+
+// SetHold sets how long titles last without contact to the store. It is called
+// before Run.
+func (l *Loop) SetHold(d time.Duration) { l.shares.open(l.node.Self(), d) }
+
+// Purse returns the tokens that the traffic spends.
+func (l *Loop) Purse() *Purse { return l.shares.purse }
+
+// Calls returns the store calls that the shares want made. Recorded and
+// Settled carry the answers.
+func (l *Loop) Calls() <-chan share.Action { return l.shares.calls }
+
+// Recorded brings the answer to a share.Read.
+type Recorded struct {
+	org     model.Org
+	op      uint64
+	version uint64
+	record  share.Record
+}
+
+// Settled brings the outcome of a share.Swap, or of a share.Read that failed.
+type Settled struct {
+	org     model.Org
+	op      uint64
+	outcome share.Outcome
+}
+
+func (Recorded) isCommand() {}
+func (Settled) isCommand()  {}
+
+// NewRecorded returns the command that brings the answer to a share.Read.
+func NewRecorded(org model.Org, op, version uint64, r share.Record) Recorded {
+	return Recorded{org: org, op: op, version: version, record: r}
+}
+
+// NewSettled returns the command that brings the outcome of a store call.
+func NewSettled(org model.Org, op uint64, o share.Outcome) Settled {
+	return Settled{org: org, op: op, outcome: o}
+}
+
+// isShare reports whether a command concerns shares alone, which the snapshot
+// shows as of the last tick.
+func isShare(c Command) bool {
+	h, ok := c.(Heard)
+	if !ok {
+		return false
+	}
+	_, ok = h.post.Message().(peer.Share)
+	return ok
+}
+
+// hearShare takes a message of another desk, if it is one.
+func (l *Loop) hearShare(now model.Instant, m peer.Message, out *peer.Outbox) {
+	s, ok := m.(peer.Share)
+	if !ok {
+		return
+	}
+	var acts share.Outbox
+	l.shares.desk.Hear(now, s.Message(), &acts)
+	l.act(now, &acts, out)
+}
+
+func (l *Loop) recorded(now model.Instant, c Recorded, out *peer.Outbox) {
+	var acts share.Outbox
+	l.shares.desk.Loaded(now, c.org, c.op, c.version, c.record, &acts)
+	l.act(now, &acts, out)
+}
+
+func (l *Loop) settled(now model.Instant, c Settled, out *peer.Outbox) {
+	var acts share.Outbox
+	l.shares.desk.Stored(now, c.org, c.op, c.outcome, &acts)
+	l.act(now, &acts, out)
+}
+
+// tickShares does what is due for the shares.
+func (l *Loop) tickShares(now model.Instant, out *peer.Outbox) {
+	l.shares.ticks++
+	l.fill(now, l.shares.ticks%reportTicks == 0, out)
+	var acts share.Outbox
+	l.shares.desk.Tick(now, &acts)
+	l.act(now, &acts, out)
+}
+
+// fill asks for what the purse lacks.
+func (l *Loop) fill(now model.Instant, all bool, out *peer.Outbox) {
+	var needs share.Needs
+	l.shares.purse.collect(all, &needs)
+	l.want(now, &needs, out)
+}
+
+func (l *Loop) want(now model.Instant, needs *share.Needs, out *peer.Outbox) {
+	var acts share.Outbox
+	for _, n := range needs.List() {
+		l.shares.desk.Want(now, n, &acts)
+	}
+	l.act(now, &acts, out)
+}
+
+// resign gives tokens and titles back, for the planned stop.
+func (l *Loop) resign(now model.Instant, out *peer.Outbox) {
+	var needs share.Needs
+	l.shares.purse.giveBack(&needs)
+	l.want(now, &needs, out)
+	var acts share.Outbox
+	l.shares.desk.Resign(now, &acts)
+	l.act(now, &acts, out)
+}
+
+// configure brings a changed configuration or membership to the desk.
+func (l *Loop) configure(now model.Instant) {
+	config, roster := l.node.Config(), l.node.Roster()
+	if l.shares.config == config && l.shares.roster == roster.Changes() {
+		return
+	}
+	l.shares.config, l.shares.roster = config, roster.Changes()
+	for _, m := range roster.Members() {
+		if roster.Dead(m) {
+			l.shares.desk.Bury(m.Incarnation())
+		}
+	}
+	l.shares.desk.Configure(now, config, roster.Living())
+}
+
+// act carries out what the desk wants.
+func (l *Loop) act(now model.Instant, acts *share.Outbox, out *peer.Outbox) {
+	for _, a := range acts.Actions() {
+		switch a := a.(type) {
+		case share.Send:
+			out.AddAt(a.Address(), peer.NewShare(a.Message()))
+		case share.Read:
+			l.call(now, a, a.Org(), a.Op(), out)
+		case share.Swap:
+			l.call(now, a, a.Org(), a.Op(), out)
+		case share.Credit:
+			l.shares.purse.put(a.Org(), a.Lump())
+		case share.Dry:
+			l.shares.purse.dry(a.Org(), a.Until())
+		}
+	}
+}
+
+// call queues a store call. Without room it fails at once.
+func (l *Loop) call(now model.Instant, a share.Action, org model.Org, op uint64, out *peer.Outbox) {
+	select {
+	case l.shares.calls <- a:
+	default:
+		l.settled(now, NewSettled(org, op, share.Lost{}), out)
+	}
+}
+
+// survey notes the state of the shares for the next snapshot.
+func (l *Loop) survey(now model.Instant) {
+	l.shares.states = nil
+	for _, org := range l.shares.desk.Orgs() {
+		l.shares.states = append(l.shares.states, l.shares.desk.State(now, org))
+	}
+}
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -10,6 +10,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/share"
 	"anvilstand/core/spread"
 	"anvilstand/io/clock"
 )
@@ -32,6 +33,8 @@
 	stale    bool
 	faults   uint64
 	written  model.Revision
+	shares   []share.State
+	titles   int
 }
 
 func (l *Loop) snapshot(now model.Instant) *View {
@@ -40,6 +43,7 @@
 		changed: make(chan struct{}), clock: l.clock, when: now, self: n.Self(), routes: l.routes,
 		entries: n.Entries(), domains: n.Roster().Domains(),
 		outside: now.Add(-n.Outside(now)), faults: n.Faults() + l.refused, written: l.written,
+		shares: l.shares.states, titles: l.shares.desk.Titles(),
 		heard: map[model.Domain]spread.Heard{}, rolls: map[model.Domain]uint64{},
 	}
 	for _, d := range v.domains {
@@ -121,3 +125,9 @@
 	}
 	return false
 }
+
+// Shares returns the state of every organisation's share, as of the last tick.
+func (v *View) Shares() []share.State { return v.shares }
+
+// Titles returns the number of titles that this daemon holds.
+func (v *View) Titles() int { return v.titles }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -54,6 +54,7 @@
 	m := meter.New()
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
+	d.loop.SetHold(p.Hold())
 	d.front = front.New(p, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m)
 	return d, nil
@@ -113,6 +114,7 @@
 	links := link.New(work, g, d.peer, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
 	g.Go(func() error { return watch.Follow(work, d.store, d.loop, len(d.prefs.Seeds()) > 0) })
+	g.Go(func() error { return watch.Shares(work, d.store, d.loop) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -132,6 +134,7 @@
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
 	d.awaitRecord(ctx)
+	d.awaitTitles(ctx)
 	d.front.Close()
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
@@ -156,12 +159,22 @@
 	})
 }
 
+// awaitTitles waits until the titles are resigned, so that others take them
+// over at once.
+func (d *Daemon) awaitTitles(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, resignTimeout)
+	defer done()
+	_ = d.loop.Await(ctx, func(v *ctrl.View) bool { return v.Titles() == 0 })
+}
+
 // Bounds of the listeners.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
 	retireTimeout = time.Second
+	// resignTimeout bounds the wait for the titles of shares to be resigned.
+	resignTimeout = 2 * time.Second
 )
 
 // servers returns the servers of the listeners. Their requests end with ctx.
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -91,7 +91,7 @@
 	if org == "" {
 		return j, nil
 	}
-	return j, f.purse.spend(j.view, org)
+	return j, f.purse.spend(r.Context(), org)
 }
 
 func (j *job) holder() (model.Org, error) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -37,7 +37,7 @@
 		meter:  m,
 		clock:  c,
 		gate:   gate{clock: c},
-		purse:  purse{clock: c},
+		purse:  purse{tokens: l.Purse()},
 		picker: picker{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		peers:  newTransport(peers),
 		target: newTransport(target),
--- a/io/front/purse.go
+++ b/io/front/purse.go
@@ -1,31 +1,51 @@
 package front
 
 import (
-	"sync"
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
 
-	"anvilstand/core/conf"
 	"anvilstand/core/model"
-	"anvilstand/core/share"
-	"anvilstand/io/clock"
 	"anvilstand/io/ctrl"
 )
 
+// firstWait bounds how long the first request of an organisation at this daemon
+// waits for an answer of the holders of its titles.
+const firstWait = 500 * time.Millisecond
+
 // purse lets traffic goroutines spend shares.
-type purse struct {
-	clock  clock.Clock
-	mu     sync.Mutex
-	config *conf.Config
-	parts  int
-	even   share.Even
+type purse struct{ tokens *ctrl.Purse }
+
+// spend takes one token. Only a request of an organisation that the daemon has
+// no share of yet waits for one.
+func (p *purse) spend(ctx context.Context, org model.Org) error {
+	err := p.tokens.Spend(org)
+	if !isFirst(err) {
+		return err
+	}
+	t := time.NewTimer(firstWait)
+	defer t.Stop()
+	for {
+		news := p.tokens.News(org)
+		if err = p.tokens.Again(org); !isFirst(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return model.Refuse(model.Canceled{}, 0)
+		case <-t.C:
+			return err
+		case <-news:
+		}
+	}
 }
 
-func (p *purse) spend(v *ctrl.View, org model.Org) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	if v.Config() != p.config || len(v.Members()) != p.parts {
-		p.config, p.parts = v.Config(), len(v.Members())
-		p.even.Set(now, p.config, p.parts)
+func isFirst(err error) bool {
+	var r *model.Refusal
+	if !errors.As(err, &r) {
+		return false
 	}
-	return p.even.Spend(now, org)
+	_, first := r.Reason().(model.NoShare)
+	return first
 }
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -50,7 +50,7 @@
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
 	"operators", "deadline", "grace", "budget", "body", "conns", "cert", "key", "authority",
-	"seeds", "isolation",
+	"seeds", "isolation", "hold",
 }
 
 func unknownFields(text []byte) Faults {
@@ -123,6 +123,7 @@
 	}
 	const seconds = "seconds, above 0 and up to 3600"
 	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
+	need(p.hold > 0 && p.hold.Seconds() <= maxTime, "hold", seconds)
 	need(p.isolation > 0 && p.isolation.Seconds() <= maxTime, "isolation", seconds)
 	need(!slices.ContainsFunc(p.seeds, isNoAddress), "seeds", "a list of addresses as host:port with an IP number")
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -34,6 +34,7 @@
 	authority string
 	seeds     []string
 	isolation time.Duration
+	hold      time.Duration
 }
 
 // Seeds returns addresses of other daemons, of the own and of other failure
@@ -77,6 +78,9 @@
 // Deadline returns the time that a request has when its caller sets none.
 func (p *Prefs) Deadline() time.Duration { return p.deadline }
 
+// Hold returns how long the titles of shares last without contact to the store.
+func (p *Prefs) Hold() time.Duration { return p.hold }
+
 // Grace returns the bound of a planned stop.
 func (p *Prefs) Grace() time.Duration { return p.grace }
 
@@ -100,6 +104,7 @@
 const (
 	defaultDeadline  = 5 * time.Second
 	defaultGrace     = 30 * time.Second
+	defaultHold      = time.Hour
 	defaultIsolation = 30 * time.Second
 	defaultBudget    = 3
 	defaultMaxBody   = 64 << 20
@@ -118,7 +123,7 @@
 		Front, Peer, Oper, Target string
 		Store, Secret             string
 		Operators                 map[string]string
-		Deadline, Grace           *float64
+		Deadline, Grace, Hold     *float64
 		Budget, Conns             *int
 		Body                      *int64
 		Cert, Key, Authority      string
@@ -135,6 +140,7 @@
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
 		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
+		hold:  seconds(w.Hold, defaultHold),
 		conns: or(w.Conns, defaultConns),
 		cert:  w.Cert, certKey: w.Key, authority: w.Authority,
 	}
