try measures: the nine keys, faults by name, chains and promises

Cause: try printed three measures and played no fault. Change: io/trial runs chains three deep, a surge or named faults, a failure domain out and back; it measures goodput, recovery, the worst-served organisation, refusals in rate, the domain's leave and return, added latency, the cost of control and the store's calls, and checks the promises of proof/audit on the history. Conclusion: crash-causing requests and silent connections are open here.

--- a/cmds/change/try.go
+++ b/cmds/change/try.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"os"
 
 	"github.com/urfave/cli/v3"
 
@@ -20,17 +22,35 @@
 		&cli.StringFlag{Name: "profile", Usage: "`NAME` of the workload: pilha or sanabil", Value: "pilha"},
 		&cli.Float64Flag{Name: "seconds", Usage: "`N` seconds of traffic", Value: 10},
 		&cli.Uint64Flag{Name: "seed", Usage: "`N` that the traffic is drawn from", Value: 1},
+		&cli.StringFlag{Name: "fault", Usage: "`NAME` of a fault, names joined by +, or list", Value: "surge"},
 		&cli.BoolFlag{Name: "json", Usage: "print the measures as one JSON object"},
 	},
 	Action: try,
 }
 
+// progress returns where a terminal shows the progress, or nil.
+func progress() io.Writer {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return os.Stderr
+}
+
 func try(ctx context.Context, cmd *cli.Command) error {
 	profile, ok := trial.ProfileOf(cmd.String("profile"))
 	if !ok {
 		return tool.New(tool.Refused, "try: --profile is pilha or sanabil")
 	}
-	report, err := trial.Run(ctx, profile, cmd.Float64("seconds"), cmd.Uint64("seed"))
+	if cmd.String("fault") == "list" {
+		_, err := fmt.Fprint(cmd.Root().Writer, trial.FaultList())
+		return err
+	}
+	faults, err := trial.ParseFaults(cmd.String("fault"))
+	if err != nil {
+		return tool.New(tool.Refused, "try: "+err.Error())
+	}
+	report, err := trial.New(profile, cmd.Float64("seconds"), cmd.Uint64("seed"), faults...).Run(ctx, progress())
 	if err != nil {
 		return err
 	}
--- a/io/trial/profile.go
+++ b/io/trial/profile.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"anvilstand/core/model"
+	"anvilstand/proof/audit"
 )
 
 // Profile is a workload, scaled down.
@@ -47,6 +48,47 @@
 	return Profile{}, false
 }
 
+// after returns the service that a chain goes on to.
+func (p Profile) after(name model.Service) (model.Service, bool) {
+	for i, s := range p.services {
+		if s.name == name && i+1 < min(depth, len(p.services)) {
+			return p.services[i+1].name, true
+		}
+	}
+	return "", false
+}
+
+// capacity returns the requests a second that the targets can run.
+func (p Profile) capacity() float64 {
+	sum := 0.0
+	for _, s := range p.services {
+		sum += float64(s.endpoints*s.slots) / s.takes.Seconds()
+	}
+	return sum
+}
+
+// size returns how many targets there are.
+func (p Profile) size() int {
+	n := 0
+	for _, s := range p.services {
+		n += s.endpoints
+	}
+	return n
+}
+
+// attempts is how often one request may run: the budget of retries and once.
+const attempts = 4
+
+// plan returns what a history of the profile is checked against.
+func (p Profile) plan() audit.Plan {
+	plan := audit.Plan{}.WithAttempts(attempts).WithWithdrawn(second(p), opWithdraw).
+		WithOut(domains[len(domains)-1], opOut, opIn)
+	for _, t := range p.orgs {
+		plan = plan.WithLimit(t.name, t.rate, t.burst)
+	}
+	return plan
+}
+
 func pilha() Profile {
 	return Profile{
 		name: "pilha",
--- a/proof/audit/audit.go
+++ b/proof/audit/audit.go
@@ -80,6 +80,9 @@
 // ID returns the identity of the request.
 func (s Sent) ID() string { return s.id }
 
+// Key returns the key that it showed.
+func (s Sent) Key() string { return s.key }
+
 // Org returns the organisation that sent it.
 func (s Sent) Org() model.Org { return s.org }
 
@@ -249,3 +252,36 @@
 	}
 	return all
 }
+
+// Tally is how many requests ended how.
+type Tally struct{ sent, whole, refused, cut int }
+
+// Sent returns the requests that ended.
+func (t Tally) Sent() int { return t.sent }
+
+// Whole returns those that got a whole answer.
+func (t Tally) Whole() int { return t.whole }
+
+// Refused returns those that were refused.
+func (t Tally) Refused() int { return t.refused }
+
+// Cut returns those that were cut or reached no daemon.
+func (t Tally) Cut() int { return t.cut }
+
+// Tally counts the requests that have ended so far.
+func (h *History) Tally() Tally {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := Tally{sent: len(h.sent)}
+	for _, s := range h.sent {
+		switch s.end.(type) {
+		case Whole:
+			t.whole++
+		case Refused:
+			t.refused++
+		case Cut, Unreached:
+			t.cut++
+		}
+	}
+	return t
+}
