A command told again is one operation in the check of the line

The trace shows a command that made revision 3 at 7.0 s with its answer lost, another operator's revision 4 accepted at 7.5 s, and the first one told again with its id and settled as accepted at 10.5 s. The check took the resend for a commit of its own, begun after revision 4. The product was right: the same id is one operation. Change: operations with one id are one, which may have taken effect since it was first told; its unknown outcome no longer allows a second revision, so the check is stricter there.

--- a/proof/audit/line.go
+++ b/proof/audit/line.go
@@ -97,23 +97,49 @@
 	if broken := checkForce(h); broken != "" {
 		return broken
 	}
+	ops := commits(h)
+	for i, r := range h.held {
+		ops = append(ops, operation(len(h.told)+i, look{rev: r.rev}, r.at, r.at))
+	}
+	if !porcupine.CheckOperations(lineModel(), ops) {
+		return "accepted revisions and what daemons hold do not make one line"
+	}
+	return ""
+}
+
+// commits returns the operations that made revisions. One that was told again
+// with the same id, because its outcome was not known, is one operation, which
+// may have taken effect since it was first told.
+func commits(h *History) []porcupine.Operation {
+	first, settled := map[string]time.Duration{}, map[string]bool{}
+	for _, t := range h.told {
+		switch t.said.(type) {
+		case Accepted:
+			settled[t.op] = true
+		case Unsure:
+			if from, ok := first[t.op]; !ok || t.from < from {
+				first[t.op] = t.from
+			}
+		case Denied:
+		}
+	}
 	var ops []porcupine.Operation
 	for i, t := range h.told {
+		from, again := first[t.op]
+		if !again {
+			from = t.from
+		}
 		switch t.said.(type) {
 		case Accepted:
-			ops = append(ops, operation(i, commit{rev: t.rev}, t.from, t.until))
+			ops = append(ops, operation(i, commit{rev: t.rev}, from, t.until))
 		case Unsure:
-			ops = append(ops, operation(i, maybe{}, t.from, h.ended))
+			if !settled[t.op] {
+				ops = append(ops, operation(i, maybe{}, t.from, h.ended))
+			}
 		case Denied:
 		}
 	}
-	for i, r := range h.held {
-		ops = append(ops, operation(len(h.told)+i, look{rev: r.rev}, r.at, r.at))
-	}
-	if !porcupine.CheckOperations(lineModel(), ops) {
-		return "accepted revisions and what daemons hold do not make one line"
-	}
-	return ""
+	return ops
 }
 
 // line is a state of the line of revisions: the newest accepted, and how many
