--- a/proof/cells/run.go
+++ b/proof/cells/run.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -193,16 +192,21 @@
 		}
 	}
 	for _, n := range f.nodes {
-		for _, path := range []string{"/metrics", "/ask?q=" + url.QueryEscape("orgs"), "/ask?q=served"} {
-			text, err := f.emitted(n, path)
-			if err != nil {
-				continue
-			}
-			for _, key := range keys {
-				if strings.Contains(text, key) {
-					f.history.Leak(fmt.Sprint(n.name(), path))
-				}
-			}
+		for _, path := range []string{"/metrics", "/ask?q=orgs", "/ask?q=served", "/ask?q=targets", "/ask?q=services"} {
+			f.search(n, path)
+		}
+	}
+}
+
+// search looks for keys in what the operators' endpoint of a daemon answers.
+func (f *fleet) search(n *node, path string) {
+	text, err := f.emitted(n, path)
+	if err != nil {
+		return
+	}
+	for _, key := range keys {
+		if strings.Contains(text, key) {
+			f.history.Leak(n.name() + " at " + path)
 		}
 	}
 }
