--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -64,9 +64,34 @@
 			r.dead = map[model.Incarnation]bool{}
 		}
 		r.dead[process] = true
+		r.rename(m.name)
 		r.count++
 		delete(r.order, m.domain)
 		return m, true
 	}
 	return Member{}, false
 }
+
+// rename finds anew which living process a name stands for.
+func (r *Roster) rename(name model.Instance) {
+	delete(r.names, name)
+	for _, roll := range r.rolls {
+		for _, m := range roll.members {
+			if m.name == name && !r.dead[m.born] {
+				r.names[name] = m
+			}
+		}
+	}
+}
+
+// Raise notes that a process thought to have ended lives: it has been heard, or
+// recorded anew.
+func (r *Roster) Raise(m Member) {
+	if !r.dead[m.born] {
+		return
+	}
+	delete(r.dead, m.born)
+	delete(r.order, m.domain)
+	r.count++
+	r.rename(m.name)
+}
--- a/core/spread/command.go
+++ b/core/spread/command.go
@@ -50,6 +50,11 @@
 	}
 	n.roster.Replace(r)
 	step := r.StepFrom(old)
+	for _, m := range step.Joined() {
+		if old.Version() > 0 {
+			n.roster.Raise(m)
+		}
+	}
 	n.keep(step)
 	n.feed(now, peer.NewRoll(step), out)
 }
@@ -66,32 +71,44 @@
 // Depart begins the planned stop.
 func (n *Node) Depart(now model.Instant, out *peer.Outbox) {
 	n.self = n.self.AsLeaving()
+	n.row.valid = false
 	n.announce(now, out)
 }
 
-// Prove takes the proof that the process recorded at an address has ended.
+// Prove takes the proof that the process recorded at an address has ended. The
+// watchers of all failure domains are told, and tell the others.
 func (n *Node) Prove(now model.Instant, address string, process model.Incarnation, out *peer.Outbox) {
-	if m, ok := n.roster.Bury(address, process); ok {
-		n.report(now, m, true, out)
+	m, ok := n.roster.Bury(address, process)
+	if !ok {
+		return
 	}
+	for _, d := range n.roster.Domains() {
+		n.report(d, peer.NewGone(m, true), out)
+	}
+	n.drop(now, m, out)
 }
 
-// report asks the watchers of a member's failure domain to take it out.
-func (n *Node) report(now model.Instant, m fleet.Member, proven bool, out *peer.Outbox) {
+// drop passes on that a process has ended, and wants it out of the record.
+func (n *Node) drop(now model.Instant, m fleet.Member, out *peer.Outbox) {
 	if m.Domain() == n.self.Domain() {
-		n.wish(now, wish{member: m, drop: true, proven: proven})
+		n.wish(now, wish{member: m, drop: true})
 	}
-	for i, w := range n.roster.Ranked(m.Domain()) {
+	n.feed(now, peer.NewGone(m, true), out)
+}
+
+// report sends a message to the watchers of a failure domain.
+func (n *Node) report(d model.Domain, m peer.Message, out *peer.Outbox) {
+	for i, w := range n.roster.Ranked(d) {
 		if i < Watchers && w.Name() != n.self.Name() {
-			out.Add(w.Name(), peer.NewGone(m, proven))
+			out.Add(w.Name(), m)
 		}
 	}
 }
 
-// feed sends a message to the members that this one is the first to feed.
+// feed sends a message to the members that this one feeds.
 func (n *Node) feed(now model.Instant, m peer.Message, out *peer.Outbox) {
 	list, place := n.order(now)
-	for _, i := range children(place, len(list)) {
+	for _, i := range fed(place, len(list)) {
 		out.Add(list[i].Name(), m)
 	}
 }
@@ -118,12 +135,12 @@
 func (n *Node) Tick(now model.Instant, out *peer.Outbox) {
 	n.ticks++
 	n.sweep(now)
+	n.row.valid = false
 	n.announce(now, out)
 	list, place := n.order(now)
 	beat := n.beat(now)
 	if first, second, ok := parents(place); ok {
-		up := []int{first, min(second, len(list)-1)}
-		n.ask(now, list[up[n.ticks%len(up)]].Name(), beat, out)
+		n.askParents(now, [2]model.Instance{list[first].Name(), list[min(second, len(list)-1)].Name()}, beat, out)
 	}
 	if place < Watchers {
 		n.beatAbroad(now, beat, out)
@@ -136,6 +153,17 @@
 	n.missing(now, list, place, out)
 }
 
+// askParents sends a heartbeat to the two parents in turn, and to one that has
+// left the last one unanswered.
+func (n *Node) askParents(now model.Instant, up [2]model.Instance, b peer.Beat, out *peer.Outbox) {
+	turn := n.ticks % len(up)
+	for i, name := range up {
+		if i == turn || n.contact(now, name).waiting {
+			n.ask(now, name, b, out)
+		}
+	}
+}
+
 func (n *Node) beat(now model.Instant) peer.Beat {
 	return peer.NewBeat(n.line.Revision(), n.roster.Digest(), n.Outside(now))
 }
@@ -229,10 +257,13 @@
 func (n *Node) missing(now model.Instant, list []fleet.Member, place int, out *peer.Outbox) {
 	for _, i := range children(place, len(list)) {
 		name := list[i].Name()
-		if now.Sub(n.contact(now, name).heard) < Absence {
-			continue
+		silent := now.Sub(n.contact(now, name).heard)
+		if silent >= Doubt {
+			n.ask(now, name, n.beat(now), out)
+		}
+		if silent >= Absence {
+			n.report(n.self.Domain(), peer.NewGone(list[i], false), out)
+			n.hearGone(now, peer.NewGone(list[i], false), out)
 		}
-		n.report(now, list[i], false, out)
-		n.ask(now, name, n.beat(now), out)
 	}
 }
--- a/core/spread/hear.go
+++ b/core/spread/hear.go
@@ -35,6 +35,7 @@
 // note remembers that a daemon was heard.
 func (n *Node) note(now model.Instant, p peer.Post) {
 	c := n.contacts[p.Peer()]
+	n.row.valid = n.row.valid && !c.suspect
 	c.waiting, c.suspect, c.heard = false, false, now
 	n.remember(p.Peer(), c)
 	m, ok := n.roster.Find(p.Peer())
@@ -56,6 +57,7 @@
 	if !b.IsAnswer() {
 		out.Answer(p, n.beat(now).AsAnswer())
 	}
+	n.bring(p, b.Revision(), out)
 	if b.Revision() > n.line.Revision() || b.Digest() != n.roster.Digest() {
 		out.Answer(p, n.want())
 	}
@@ -77,10 +79,15 @@
 			out.Answer(p, peer.NewRoll(s))
 		}
 	}
-	if w.Revision() >= n.line.Revision() {
+	n.bring(p, w.Revision(), out)
+}
+
+// bring sends the entries that follow a revision, or a base.
+func (n *Node) bring(p peer.Post, rev model.Revision, out *peer.Outbox) {
+	if rev >= n.line.Revision() {
 		return
 	}
-	entries, ok := n.line.After(w.Revision(), change.MaxTail)
+	entries, ok := n.line.After(rev, change.MaxTail)
 	if !ok {
 		n.sendBase(p, out)
 		return
@@ -205,14 +212,21 @@
 // evidence that holds only if it has not been heard here either.
 func (n *Node) hearGone(now model.Instant, g peer.Gone, out *peer.Outbox) {
 	m := g.Member()
-	if m.Domain() != n.self.Domain() || m.Name() == n.self.Name() {
+	if m.Name() == n.self.Name() && m.Incarnation() == n.self.Incarnation() {
 		return
 	}
 	if g.Proven() {
-		n.roster.Bury(m.Address(), m.Incarnation())
-	} else if now.Sub(n.contact(now, m.Name()).heard) < Absence {
+		if _, news := n.roster.Bury(m.Address(), m.Incarnation()); news {
+			n.drop(now, m, out)
+		}
+		return
+	}
+	if m.Domain() != n.self.Domain() {
+		return
+	}
+	if now.Sub(n.contact(now, m.Name()).heard) < Absence {
 		n.ask(now, m.Name(), n.beat(now), out)
 		return
 	}
-	n.wish(now, wish{member: m, drop: true, proven: g.Proven()})
+	n.wish(now, wish{member: m, drop: true})
 }
--- a/core/spread/query.go
+++ b/core/spread/query.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"anvilstand/core/change"
@@ -40,7 +41,14 @@
 // order returns the failure domain's members in rendezvous order, without
 // those that do not answer here, and the place of this daemon among them.
 func (n *Node) order(now model.Instant) ([]fleet.Member, int) {
-	var list []fleet.Member
+	if !n.row.valid || n.row.roster != n.roster.Changes() {
+		n.row = n.newRow(now)
+	}
+	return n.row.members, n.row.place
+}
+
+func (n *Node) newRow(now model.Instant) row {
+	r := row{roster: n.roster.Changes(), valid: true}
 	found := false
 	for _, m := range n.roster.Ranked(n.self.Domain()) {
 		if m.Name() == n.self.Name() {
@@ -48,18 +56,14 @@
 		} else if n.suspected(now, m.Name()) {
 			continue
 		}
-		list = append(list, m)
+		r.members = append(r.members, m)
 	}
 	if !found {
-		list = append(list, n.self)
-		fleet.Rank(list)
+		r.members = append(r.members, n.self)
+		fleet.Rank(r.members)
 	}
-	for i, m := range list {
-		if m.Name() == n.self.Name() {
-			return list, i
-		}
-	}
-	return list, 0
+	r.place = slices.IndexFunc(r.members, func(m fleet.Member) bool { return m.Name() == n.self.Name() })
+	return r
 }
 
 func (n *Node) suspected(now model.Instant, name model.Instance) bool {
@@ -78,9 +82,8 @@
 	return i, i < Watchers
 }
 
-// parents returns the places of the members that feed a place, the first one
-// at once and the second when it is asked. The loss of one delays nothing by
-// more than a heartbeat.
+// parents returns the places of the two members that feed a place. The first
+// one also watches over it.
 func parents(place int) (first, second int, ok bool) {
 	if place < Watchers {
 		return 0, 0, false
@@ -96,7 +99,7 @@
 	return first, first - 1, true
 }
 
-// children returns the places that a place is the first to feed.
+// children returns the places that have a place as their first parent.
 func children(place, count int) []int {
 	low, high, by := Watchers+(place-Watchers+1)*FanOut, Watchers+(place-Watchers+2)*FanOut, 1
 	if place < Watchers {
@@ -109,6 +112,22 @@
 	return list
 }
 
+// fed returns the places that a place feeds, as the first or the second.
+func fed(place, count int) []int {
+	if place < Watchers {
+		var list []int
+		for i := Watchers; i < min(Watchers+FanOut, count); i++ {
+			list = append(list, i)
+		}
+		return list
+	}
+	list := append(children(place, count), children(place+1, count)...)
+	if place == Watchers+1 {
+		list = append(list, children(Watchers, count)...)
+	}
+	return list
+}
+
 // Record returns what the record of the failure domain should be, and whether
 // it differs from what is recorded. Only a watcher has a say in it; the second
 // one waits, so that the first can write alone.
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -25,6 +25,9 @@
 	Silence = 2 * time.Second
 	// Suspicion is how long a silent member is passed over.
 	Suspicion = 10 * time.Second
+	// Doubt is how long a member may be silent before it is asked whether it
+	// still lives.
+	Doubt = 4 * time.Second
 	// Absence is how long a member may be silent before the watchers are asked
 	// to take it out of the record.
 	Absence = 10 * time.Second
@@ -62,10 +65,20 @@
 	known    bool
 	heard    map[model.Domain]Heard
 	parts    assembly
+	row      row
 	ticks    int
 	faults   uint64
 }
 
+// row is the rendezvous order of a failure domain as last worked out. It holds
+// until the next tick, a change of the roster, or a sign of life of a suspect.
+type row struct {
+	members []fleet.Member
+	place   int
+	roster  uint64
+	valid   bool
+}
+
 // contact is what a node knows of another's answers.
 type contact struct {
 	asked     model.Instant
@@ -89,7 +102,6 @@
 type wish struct {
 	member fleet.Member
 	drop   bool
-	proven bool
 	since  model.Instant
 }
 
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -133,7 +133,7 @@
 
 // Await waits until a snapshot is as asked, or ctx ends.
 func (l *Loop) Await(ctx context.Context, ok func(*View) bool) error {
-	for {
+	for ctx.Err() == nil {
 		v := l.View()
 		if ok(v) {
 			return nil
@@ -144,6 +144,7 @@
 		case <-v.changed:
 		}
 	}
+	return ctx.Err()
 }
 
 // routes are the members as the traffic reads them, made anew only when the
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -83,6 +83,18 @@
 // whether it must be written.
 func (v *View) Record() (fleet.Roll, bool) { return v.record, v.stale }
 
+// Doubled returns the names that more than one process claims.
+func (v *View) Doubled() []model.Instance {
+	seen := map[model.Instance]int{}
+	var names []model.Instance
+	for _, m := range v.Members() {
+		if seen[m.Name()]++; seen[m.Name()] == 2 {
+			names = append(names, m.Name())
+		}
+	}
+	return names
+}
+
 // Faults returns how many changes and records were refused.
 func (v *View) Faults() uint64 { return v.faults }
 
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -95,12 +95,14 @@
 
 // Watch waits until a key differs from the given version.
 func (s *Stand) Watch(ctx context.Context, key string, version uint64) (store.Item, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
 	for {
 		if err := s.misbehave(ctx); err != nil {
 			return store.Item{}, err
 		}
 		s.mu.Lock()
-		s.reads++
 		item, changed := s.get(key), s.changes()
 		s.mu.Unlock()
 		if item.Version() != version {
