--- a/core/query/answer.go
+++ b/core/query/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"time"
 
+	"anvilstand/core/change"
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
@@ -30,6 +32,15 @@
 type Source interface {
 	// Config returns the configuration in force at this daemon.
 	Config() *conf.Config
+	// Self returns the daemon that answers.
+	Self() fleet.Member
+	// Entries returns the newest changes, the oldest first.
+	Entries() []change.Entry
+	// Domains returns the failure domains known.
+	Domains() []model.Domain
+	// Heard returns how long ago another failure domain was heard here, and
+	// the revision it then had in force.
+	Heard(model.Domain) (time.Duration, model.Revision, bool)
 	// Members returns the daemons known.
 	Members() []fleet.Member
 	// Served returns the requests of an organisation served and refused here,
@@ -63,6 +74,10 @@
 		return answerTargets(s)
 	case Served:
 		return answerServed(s)
+	case Force:
+		return answerForce(s)
+	case History:
+		return answerHistory(s)
 	case Explain:
 		return answerExplain(s, q)
 	}
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -24,6 +24,11 @@
 	Targets struct{}
 	// Served asks who is served, by organisation.
 	Served struct{}
+	// Force asks which revision is in force in each failure domain, as far as
+	// it is known here.
+	Force struct{}
+	// History asks for the newest changes with their operators.
+	History struct{}
 	// Explain asks what happened to one request.
 	Explain struct{ id model.Request }
 )
@@ -33,6 +38,8 @@
 func (Services) isQuery() {}
 func (Targets) isQuery()  {}
 func (Served) isQuery()   {}
+func (Force) isQuery()    {}
+func (History) isQuery()  {}
 func (Explain) isQuery()  {}
 
 // ID returns the request asked about.
@@ -56,7 +63,7 @@
 }
 
 func parseOne(r *lang.Reader) (Query, error) {
-	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "explain")
+	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "force", "history", "explain")
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +78,10 @@
 		return Targets{}, nil
 	case "served":
 		return Served{}, nil
+	case "force":
+		return Force{}, nil
+	case "history":
+		return History{}, nil
 	}
 	id, err := r.Name("the id of a request")
 	return Explain{id: model.Request(id)}, err
--- /dev/null
+++ b/io/codec/fleet_test.go
@@ -0,0 +1,73 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/change"
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/io/codec"
+)
+
+func fleetMessages() map[string]peer.Message {
+	m := fleet.NewMember("a-1", "north", "a", "10.0.0.1:7").WithIncarnation(9)
+	batch, _ := change.Parse("add org o rate 1 burst 2; grant o key secret-key-1")
+	return map[string]peer.Message{
+		"beat":     peer.NewBeat(7, 1<<63, 3*time.Second),
+		"answer":   peer.NewBeat(7, 1, time.Second).AsAnswer(),
+		"want":     peer.NewWant(7, map[model.Domain]uint64{"north": 3}),
+		"push":     peer.NewPush([]change.Entry{change.NewEntry(8, "op", "ana", 5, batch)}, 9),
+		"piece":    peer.NewPiece(7, 1, 3, []byte("data")),
+		"roll":     peer.NewRoll(fleet.NewStep("north", 1, 2, []fleet.Member{m}, []fleet.Member{m.AsLeaving()})),
+		"announce": peer.NewAnnounce(m),
+		"gone":     peer.NewGone(m, true),
+	}
+}
+
+func TestFleetMessages(t *testing.T) {
+	for name, m := range fleetMessages() {
+		t.Run(name, func(t *testing.T) {
+			data, err := codec.EncodeMessage(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := codec.DecodeMessage(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := codec.EncodeMessage(got)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(data, again); diff != "" {
+				t.Error(diff)
+			}
+			if _, err := codec.DecodeMessage(data[:len(data)-1]); err == nil {
+				t.Error("a message cut off is taken for whole")
+			}
+		})
+	}
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range fleetMessages() {
+		data, err := codec.EncodeMessage(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := codec.DecodeMessage(data)
+		if err != nil {
+			return
+		}
+		if _, err := codec.EncodeMessage(m); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -70,10 +70,11 @@
 
 // Run takes commands until ctx ends. It is the control goroutine.
 func (l *Loop) Run(ctx context.Context, s Sender) error {
-	t := time.NewTimer(0)
+	t := time.NewTimer(untilTick())
 	defer t.Stop()
 	shareTick := time.NewTicker(share.Tick)
 	defer shareTick.Stop()
+	l.beat(s)
 	for {
 		var out peer.Outbox
 		select {
@@ -90,11 +91,7 @@
 				e.reply <- err
 			}
 		case <-t.C:
-			now := l.clock.Now()
-			l.tick(now, &out)
-			l.configure(now)
-			l.survey(now)
-			l.publish(now)
+			l.beat(s)
 			t.Reset(untilTick())
 		case <-shareTick.C:
 			l.tickShares(l.clock.Now(), &out)
@@ -105,6 +102,17 @@
 	}
 }
 
+// beat does what is due once a second.
+func (l *Loop) beat(s Sender) {
+	var out peer.Outbox
+	now := l.clock.Now()
+	l.tick(now, &out)
+	l.configure(now)
+	l.survey(now)
+	l.publish(now)
+	l.send(s, &out)
+}
+
 func (l *Loop) send(s Sender, out *peer.Outbox) {
 	for _, p := range out.Posts() {
 		if p.Address() != "" {
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -1,6 +1,9 @@
 package oper
 
 import (
+	"time"
+
+	"anvilstand/core/change"
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
@@ -18,6 +21,18 @@
 // Config returns the configuration in force here.
 func (s source) Config() *conf.Config { return s.view.Config() }
 
+// Self returns this daemon.
+func (s source) Self() fleet.Member { return s.view.Self() }
+
+// Entries returns the newest changes.
+func (s source) Entries() []change.Entry { return s.view.Entries() }
+
+// Domains returns the failure domains known.
+func (s source) Domains() []model.Domain { return s.view.Domains() }
+
+// Heard returns what was last heard of another failure domain.
+func (s source) Heard(d model.Domain) (time.Duration, model.Revision, bool) { return s.view.Heard(d) }
+
 // Members returns the daemons known.
 func (s source) Members() []fleet.Member { return s.view.Members() }
 
