--- /dev/null
+++ b/io/daemon/isolated_test.go
@@ -0,0 +1,70 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/io/daemon"
+	"anvilstand/io/prefs"
+	"anvilstand/io/stand"
+	"anvilstand/io/wire"
+)
+
+// TestIsolated takes the store away from a daemon without neighbours. It then
+// refuses the organisation that is to be denied, and serves again afterwards.
+func TestIsolated(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer target.Close()
+	text := `{"name": "stock-1", "domain": "north", "service": "stock", "front": "127.0.0.1:0", "peer": "127.0.0.1:0",
+		"oper": "127.0.0.1:0", "target": "` + target.URL + `", "store": "http://127.0.0.1:1", "secret": "peer-secret",
+		"operators": {"ana": "` + operKey + `"}, "isolation": 4}`
+	settings, err := prefs.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pair{}
+	d, err := daemon.New(settings, wire.TCP{}, &p.store, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.caller = d
+	ctx, stop := context.WithCancel(t.Context())
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.Run(ctx) })
+	if status, answer := p.tell(t, strings.Replace(setup, "burst 100", "burst 100 isolated deny", 1)); status != http.StatusOK {
+		t.Fatal(status, answer)
+	}
+	p.awaitReason(t, false)
+	p.store.SetFault(stand.Down{})
+	p.awaitReason(t, true)
+	p.store.SetFault(nil)
+	p.awaitReason(t, false)
+	stop()
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// awaitReason sends requests until they are refused as isolated, or served.
+func (p *pair) awaitReason(t *testing.T, isolated bool) {
+	t.Helper()
+	for range 300 {
+		w, text, err := p.get(t, "/stock/items", withKey(orgKey))
+		if err != nil {
+			t.Fatal(err)
+		}
+		refused := strings.Contains(text, `"isolated"`)
+		if refused == isolated && (refused || w.StatusCode == http.StatusOK) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("refused as isolated never became %v", isolated)
+}
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return j, err
 	}
+	if j.view.Isolated(org, f.prefs.Isolation()) {
+		return j, model.Refuse(model.Isolated{}, 0)
+	}
 	j.call = model.NewCall(model.Request(randomID()), org, j.rank(org))
 	left, err := f.timeLeft(r)
 	if err != nil {
