History checking of racing operators

Cause: nothing checked that an accepted command stands in the line once, with operators who race and a store that loses answers.

--- /dev/null
+++ b/io/oper/tell_test.go
@@ -0,0 +1,201 @@
+package oper_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+	"anvilstand/io/codec"
+	"anvilstand/io/ctrl"
+	"anvilstand/io/meter"
+	"anvilstand/io/oper"
+	"anvilstand/io/prefs"
+	"anvilstand/io/stand"
+	"anvilstand/io/watch"
+)
+
+const operKey = "secret-key-of-ana"
+
+// nobody is a network without other daemons.
+type nobody struct{}
+
+func (nobody) Send(string, peer.Message) bool { return false }
+
+// desk is one daemon's operators' side, and its revision in force.
+type desk struct {
+	handler http.Handler
+	loop    *ctrl.Loop
+}
+
+func newDesk(ctx context.Context, t *testing.T, g *errgroup.Group, s *stand.Stand, i int) desk {
+	t.Helper()
+	text := fmt.Sprintf(`{"name": "n%d", "domain": "d%d", "service": "s", "front": "127.0.0.1:0", "peer": "127.0.0.1:0",
+		"oper": "127.0.0.1:0", "target": "http://127.0.0.1:1", "store": "http://127.0.0.1:1", "secret": "peer-secret",
+		"operators": {"ana": %q}}`, i, i, operKey)
+	p, err := prefs.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := fleet.NewMember(p.Name(), p.Domain(), p.Service(), fmt.Sprintf("10.0.0.%d:1", i)).WithIncarnation(model.Incarnation(i + 1))
+	l := ctrl.New(self, codec.Packer{}, nil)
+	g.Go(func() error { return l.Run(ctx, nobody{}) })
+	g.Go(func() error { return watch.Follow(ctx, s, l, false) })
+	return desk{handler: newOper(p, l, s).Handler(), loop: l}
+}
+
+// tell gives a command and returns the status and the revision.
+func (d desk) tell(op string, expected model.Revision, text string) (int, model.Revision) {
+	query := url.Values{"op": {op}, "revision": {fmt.Sprint(expected)}}
+	r := httptest.NewRequest(http.MethodPost, "/tell?"+query.Encode(), strings.NewReader(text))
+	r.Header.Set("Authorization", "Bearer "+operKey)
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	var result struct{ Revision model.Revision }
+	_ = json.Unmarshal(w.Body.Bytes(), &result)
+	return w.Code, result.Revision
+}
+
+// attempt is a command that expects a revision; made is the revision that it
+// was accepted as, zero for a conflict.
+type attempt struct{ expected, made model.Revision }
+
+// register is the configuration as a register with a version: a command is
+// accepted at the revision it expects, and conflicts at any other.
+var register = porcupine.Model{
+	Init: func() any { return model.Revision(0) },
+	Step: func(state, input, output any) (bool, any) {
+		now, expected, made := state.(model.Revision), input.(model.Revision), output.(model.Revision)
+		if made == 0 {
+			return now != expected, now
+		}
+		return now == expected && made == now+1, made
+	},
+}
+
+// history collects what the operators did and saw.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, call int64, a attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client, Input: a.expected, Call: call, Output: a.made, Return: time.Now().UnixNano(),
+	})
+}
+
+// operate gives commands, each again under the same operation until the answer
+// is definite, through a daemon drawn anew each time.
+func (h *history) operate(client int, desks []desk, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, uint64(client)))
+	for i := range 12 {
+		time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
+		expected := desks[rnd.IntN(len(desks))].loop.View().Config().Revision()
+		op := fmt.Sprintf("op-%d-%d", client, i)
+		call := time.Now().UnixNano()
+		for {
+			status, made := desks[rnd.IntN(len(desks))].tell(op, expected, "add org "+op+" rate 1 burst 1")
+			if status == http.StatusOK {
+				h.add(client, call, attempt{expected, made})
+				break
+			}
+			if status == http.StatusConflict {
+				h.add(client, call, attempt{expected, 0})
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// TestRacingOperators checks the history of operators who race each other while
+// the store loses answers, is slow and is away. The order of the line must be
+// explained by a register, and each accepted command must stand in it once.
+func TestRacingOperators(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				g, ctx := errgroup.WithContext(ctx)
+				s := &stand.Stand{}
+				var desks []desk
+				for i := range 3 {
+					desks = append(desks, newDesk(ctx, t, g, s, i))
+				}
+				h := &history{}
+				clients := &errgroup.Group{}
+				for client := range 4 {
+					clients.Go(func() error {
+						h.operate(client, desks, seed)
+						return nil
+					})
+				}
+				clients.Go(func() error {
+					disturb(s, seed)
+					return nil
+				})
+				_ = clients.Wait()
+				time.Sleep(10 * time.Second)
+				checkHistory(t, h, desks)
+				stop()
+				_ = g.Wait()
+			})
+		})
+	}
+}
+
+// disturb draws faults of the store.
+func disturb(s *stand.Stand, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 99))
+	faults := []stand.Fault{nil, stand.Lost{}, stand.NewSlow(150 * time.Millisecond), stand.Down{}, stand.Lost{}}
+	for range 20 {
+		s.SetFault(faults[rnd.IntN(len(faults))])
+		time.Sleep(time.Duration(100+rnd.IntN(300)) * time.Millisecond)
+	}
+	s.SetFault(nil)
+}
+
+func checkHistory(t *testing.T, h *history, desks []desk) {
+	t.Helper()
+	if !porcupine.CheckOperations(register, h.ops) {
+		t.Error("the history has no order that a register explains")
+	}
+	accepted := 0
+	for _, o := range h.ops {
+		if o.Output.(model.Revision) > 0 {
+			accepted++
+		}
+	}
+	t.Logf("%d commands, %d accepted", len(h.ops), accepted)
+	for _, d := range desks {
+		config := d.loop.View().Config()
+		if int(config.Revision()) != accepted || len(config.Orgs()) != accepted {
+			t.Errorf("revision %d with %d organisations after %d accepted", config.Revision(), len(config.Orgs()), accepted)
+		}
+	}
+}
+
+func newOper(p *prefs.Prefs, l *ctrl.Loop, s *stand.Stand) *oper.Oper {
+	return oper.New(p, l, s, meter.New())
+}
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
