Shares: a swap's record is kept with the call, and a warm purse keeps two

Cause: a random schedule found a daemon that gave out two tokens too many: a peer told it the new record before the store's own answer came, and the answer then put an empty record in its place, so that the title's pot was opened twice. Refusals in rate came mostly while a purse of one token was being filled. Change: an answer is taken with the record that its own call wrote, a version known is never taken twice; a warm purse keeps at least two tokens, and a young demand estimate is corrected for its age.

--- a/core/share/desk.go
+++ b/core/share/desk.go
@@ -58,8 +58,9 @@
 
 // call is a store call under way. An op of zero is none.
 type call struct {
-	op   uint64
-	sent model.Instant
+	op     uint64
+	sent   model.Instant
+	record Record // that a swap writes
 }
 
 // tenure is a title that is held.
@@ -75,7 +76,6 @@
 type claim struct {
 	version uint64 // that the swap wrote over
 	sent    model.Instant
-	record  Record
 	level   float64
 	assumed float64
 	add     float64
--- /dev/null
+++ b/core/share/desk_test.go
@@ -0,0 +1,121 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+)
+
+var (
+	self  = NewHolder("n1", "a1", 1)
+	other = NewHolder("n2", "a2", 2)
+)
+
+// lone returns a desk that is alone in its domain and has asked to write its
+// first title, with that swap.
+func lone(t *testing.T) (*Desk, Swap, model.Instant) {
+	t.Helper()
+	draft := conf.Edit(&conf.Config{})
+	draft.PutOrg("acme", conf.Org{}.WithRate(100, 50))
+	d := NewDesk(self, "d", 0, 1)
+	d.Configure(0, draft.Commit(1), []fleet.Member{fleet.NewMember("n1", "d", "s", "a1").WithIncarnation(1)})
+	now := model.Instant(time.Second)
+	var out Outbox
+	d.Tick(now, &out)
+	read, ok := out.Actions()[0].(Read)
+	if !ok {
+		t.Fatalf("the desk began with %T", out.Actions()[0])
+	}
+	d.Loaded(now, "acme", read.Op(), 0, Record{}, &out)
+	out = Outbox{}
+	d.Tick(now, &out)
+	swap, ok := out.Actions()[0].(Swap)
+	if !ok {
+		t.Fatalf("the desk went on with %T", out.Actions()[0])
+	}
+	return d, swap, now
+}
+
+// TestFirstTitleIsFull checks in which order the answers to the first swap may
+// come, each of which leaves one title with the whole burst, or an empty one
+// when its origin is not certain.
+func TestFirstTitle(t *testing.T) {
+	known := func(d *Desk, s Swap, now model.Instant, out *Outbox) {
+		d.Hear(now, NewKnown("acme", 0, other, 1, s.Record()), out)
+	}
+	done := func(d *Desk, s Swap, now model.Instant, out *Outbox) {
+		d.Stored(now, "acme", s.Op(), NewDone(1), out)
+	}
+	lost := func(d *Desk, s Swap, now model.Instant, out *Outbox) {
+		d.Stored(now, "acme", s.Op(), Lost{}, out)
+	}
+	reread := func(version uint64) func(*Desk, Swap, model.Instant, *Outbox) {
+		return func(d *Desk, s Swap, now model.Instant, out *Outbox) {
+			d.Loaded(now, "acme", s.Op()+1, version, s.Record(), out)
+		}
+	}
+	cases := map[string]struct {
+		answers []func(*Desk, Swap, model.Instant, *Outbox)
+		level   float64
+	}{
+		"answer":                   {answers: []func(*Desk, Swap, model.Instant, *Outbox){done}, level: 50},
+		"answer twice":             {answers: []func(*Desk, Swap, model.Instant, *Outbox){done, done}, level: 50},
+		"a peer tells first":       {answers: []func(*Desk, Swap, model.Instant, *Outbox){known, done}, level: 50},
+		"lost and read":            {answers: []func(*Desk, Swap, model.Instant, *Outbox){lost, reread(1)}, level: 50},
+		"lost and read much later": {answers: []func(*Desk, Swap, model.Instant, *Outbox){lost, reread(3)}, level: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, swap, now := lone(t)
+			for _, answer := range tc.answers {
+				var out Outbox
+				answer(d, swap, now, &out)
+			}
+			s := d.State(now, "acme")
+			if diff := cmp.Diff(tc.level, s.Level()); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(Whole, s.Weight()); diff != "" {
+				t.Error(diff)
+			}
+			if sum := s.Level() + s.Outstanding(); sum != 50 {
+				t.Errorf("level and outstanding are %.1f together", sum)
+			}
+		})
+	}
+}
+
+// TestHoldLapses checks that a holder issues nothing once its hold has run
+// out, whatever kept it from reading the record.
+func TestHoldLapses(t *testing.T) {
+	cases := map[string]struct {
+		after  time.Duration
+		tokens int
+	}{
+		"in time":             {after: DefaultHold - 2*time.Second, tokens: 5},
+		"paused past the end": {after: DefaultHold, tokens: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, swap, now := lone(t)
+			var out Outbox
+			d.Stored(now, "acme", swap.Op(), NewDone(1), &out)
+			out = Outbox{}
+			d.Hear(now.Add(tc.after), NewAsk("acme", 9, other, 1, 1, 5, nil), &out)
+			got := 0
+			if s, ok := out.Actions()[0].(Send); ok {
+				if g, ok := s.Message().(Grant); ok {
+					got = g.Tokens()
+				}
+			}
+			if diff := cmp.Diff(tc.tokens, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/core/share/hold.go
+++ b/core/share/hold.go
@@ -280,8 +280,8 @@
 
 func (d *Desk) swap(now model.Instant, a *account, r Record, c claim, out *Outbox) {
 	d.op++
-	a.store = call{op: d.op, sent: now}
-	c.version, c.sent, c.record, c.active = a.version, now, r, true
+	a.store = call{op: d.op, sent: now, record: r}
+	c.version, c.sent, c.active = a.version, now, true
 	a.claimed = c
 	out.add(Swap{org: a.org, op: d.op, version: a.version, record: r})
 }
--- a/core/share/purse.go
+++ b/core/share/purse.go
@@ -20,11 +20,15 @@
 	// ahead is how long before its deadline a lump counts no more as held, so
 	// that another is asked for in time and the rest can go back.
 	ahead = 400 * time.Millisecond
+	// least is the fewest tokens that a warm purse keeps ready.
+	least = 2
 	// cover is the demand that a purse keeps tokens for.
 	cover = 75 * time.Millisecond
 	// quick and slow are the time constants of the demand estimates.
 	quick = time.Second
 	slow  = 10 * time.Second
+	// infancy is the least age that an estimate is corrected for.
+	infancy = 250 * time.Millisecond
 )
 
 // Purse holds the tokens of a daemon, by organisation. The zero value is
@@ -41,6 +45,7 @@
 	quick    float64 // requests a second
 	slow     float64 // requests a second
 	counted  model.Instant
+	begun    model.Instant // when the estimates began
 	asked    model.Instant // when a request last came
 	warm     bool
 	asking   bool          // more is asked for already
@@ -64,7 +69,7 @@
 	}
 	o := p.pouches[org]
 	if o == nil {
-		o = &pouch{counted: now}
+		o = &pouch{counted: now, begun: now}
 		p.pouches[org] = o
 	}
 	o.arrivals++
@@ -99,7 +104,7 @@
 func (p *Purse) Put(now model.Instant, org model.Org, l Lump) {
 	o := p.pouches[org]
 	if o == nil {
-		o = &pouch{counted: now, asked: now}
+		o = &pouch{counted: now, begun: now, asked: now}
 		if p.pouches == nil {
 			p.pouches = map[model.Org]*pouch{}
 		}
@@ -194,8 +199,15 @@
 	if now.Sub(o.asked) > idle && o.slow < warmRate {
 		return 0
 	}
-	n := o.quick * max(cover, 3*o.trip).Seconds()
-	return 1 + int(math.Ceil(n+2*math.Sqrt(n)))
+	n := o.demand(now) * max(cover, 3*o.trip).Seconds()
+	return max(least, 1+int(math.Ceil(n+2*math.Sqrt(n))))
+}
+
+// demand returns the requests a second of late. A young estimate is corrected
+// for starting from zero.
+func (o *pouch) demand(now model.Instant) float64 {
+	age := max(infancy, now.Sub(o.begun))
+	return o.quick / (1 - math.Exp(-age.Seconds()/quick.Seconds()))
 }
 
 func (o *pouch) want(now model.Instant) int {
--- a/core/share/sim_test.go
+++ b/core/share/sim_test.go
@@ -165,11 +165,16 @@
 	s.after(time.Duration(s.rnd.Int64N(int64(Tick))), func() { s.tick(n, process) })
 }
 
-func (s *sim) configure() {
+func (s *sim) members() []fleet.Member {
 	var members []fleet.Member
 	for _, n := range s.nodes {
 		members = append(members, n.member)
 	}
+	return members
+}
+
+func (s *sim) configure() {
+	members := s.members()
 	for _, n := range s.nodes {
 		n.desk.Configure(s.clock(n), s.config, members)
 		n.even.Set(s.clock(n), s.config, len(s.nodes))
--- a/core/share/store.go
+++ b/core/share/store.go
@@ -51,12 +51,12 @@
 	if a == nil || a.store.op != op {
 		return
 	}
-	sent := a.store.sent
+	made := a.store
 	a.store = call{}
 	switch o := o.(type) {
 	case Done:
-		d.adopt(now, a, o.version, a.claimed.record)
-		d.confirm(a, sent)
+		d.adopt(now, a, o.version, made.record)
+		d.confirm(a, made.sent)
 		d.spread(a, out)
 	case Stale:
 		d.read(now, a, out)
@@ -77,14 +77,16 @@
 	}
 }
 
-// adopt takes a record that is not older than the one known.
+// adopt takes a record that is newer than the one known. A peer may have told
+// it before the store's own answer comes.
 func (d *Desk) adopt(now model.Instant, a *account, version uint64, r Record) {
-	c, changed := a.claimed, version != a.version
-	if changed {
-		a.vacant, a.claimed = 0, claim{}
-		if _, ok := r.Title(d.domain); ok {
-			a.noticed = 0
-		}
+	if a.known && version <= a.version {
+		return
+	}
+	c := a.claimed
+	a.vacant, a.claimed = 0, claim{}
+	if _, ok := r.Title(d.domain); ok {
+		a.noticed = 0
 	}
 	a.known, a.version, a.record = true, version, r
 	t, ok := r.Title(d.domain)
@@ -93,10 +95,8 @@
 		return
 	}
 	own := c.active && version == c.version+1
-	if a.mine != nil && changed {
-		d.reweigh(now, a, t, c, own)
-	}
 	if a.mine != nil {
+		d.reweigh(now, a, t, c, own)
 		return
 	}
 	d.open(now, a, t, c, own)
@@ -113,9 +113,8 @@
 	a.mine.pot.Open(now, c.level, c.assumed, now.Add(model.Guard(Life)), d.rnd.Uint64()>>1)
 }
 
-// reweigh follows the weight in a record that has changed. While it has not, a
-// swap that lowers the weight may still be under way, and what was lowered here
-// stays lowered.
+// reweigh follows the weight in a record that has changed. While it has not,
+// what was lowered here stays lowered: the swap may still be under way.
 func (d *Desk) reweigh(now model.Instant, a *account, t Title, c claim, own bool) {
 	if t.weight == a.mine.weight {
 		return
