Shares: the purse keeps its organisations in order

Cause: each tick sorted the organisations of a purse. Change: they are kept in order. The test's draw of a daemon builds no name.

--- a/core/share/fault_test.go
+++ b/core/share/fault_test.go
@@ -265,7 +265,7 @@
 		s.loss, s.twice, s.spread = 0.2, 0.3, 3*time.Second
 		s.after(lasts, func() { s.loss, s.twice, s.spread = 0, 0, 400*time.Microsecond })
 	},
-	"twin": func(s *sim, n *node, _ time.Duration) {
+	"twin": func(s *sim, _ *node, _ time.Duration) {
 		if len(s.nodes) < 8 {
 			twin(s.now)(s)
 		}
--- a/core/share/purse.go
+++ b/core/share/purse.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -35,6 +34,7 @@
 // empty. It is not safe for concurrent use.
 type Purse struct {
 	pouches map[model.Org]*pouch
+	orgs    []model.Org   // of the pouches, in order
 	until   model.Instant // deadline of the last token spent
 }
 
@@ -64,19 +64,27 @@
 // Spend takes one token. It fails with NoShare when the daemon holds nothing
 // for the organisation yet, and with OverRate when it has run out.
 func (p *Purse) Spend(now model.Instant, org model.Org) error {
-	if p.pouches == nil {
-		p.pouches = map[model.Org]*pouch{}
-	}
-	o := p.pouches[org]
-	if o == nil {
-		o = &pouch{counted: now, begun: now}
-		p.pouches[org] = o
-	}
+	o := p.pouch(now, org)
 	o.arrivals++
 	o.asked = now
 	return p.take(now, o)
 }
 
+// pouch returns an organisation's pouch and makes it when there is none.
+func (p *Purse) pouch(now model.Instant, org model.Org) *pouch {
+	if o := p.pouches[org]; o != nil {
+		return o
+	}
+	if p.pouches == nil {
+		p.pouches = map[model.Org]*pouch{}
+	}
+	o := &pouch{counted: now, begun: now, asked: now}
+	p.pouches[org] = o
+	i, _ := slices.BinarySearch(p.orgs, org)
+	p.orgs = slices.Insert(p.orgs, i, org)
+	return o
+}
+
 // Again takes one token for a request that Spend failed for before.
 func (p *Purse) Again(now model.Instant, org model.Org) error {
 	if o := p.pouches[org]; o != nil {
@@ -102,14 +110,7 @@
 
 // Put adds a lump.
 func (p *Purse) Put(now model.Instant, org model.Org, l Lump) {
-	o := p.pouches[org]
-	if o == nil {
-		o = &pouch{counted: now, begun: now, asked: now}
-		if p.pouches == nil {
-			p.pouches = map[model.Org]*pouch{}
-		}
-		p.pouches[org] = o
-	}
+	o := p.pouch(now, org)
 	o.warm, o.asking, o.dry = true, false, 0
 	if trip := now.Sub(l.deadline) + Life; trip > 0 {
 		o.trip += (trip - o.trip) / 8
@@ -153,7 +154,7 @@
 // Collect adds what each organisation needs, and marks it as reported.
 // Everything is reported when all is set, otherwise only what closes.
 func (p *Purse) Collect(now model.Instant, all bool, out *Needs) {
-	for _, org := range slices.Sorted(maps.Keys(p.pouches)) {
+	for _, org := range p.orgs {
 		o := p.pouches[org]
 		o.estimate(now)
 		n := Need{org: org, want: o.want(now), uses: o.report(now, all || o.want(now) > 0)}
@@ -168,11 +169,14 @@
 			delete(p.pouches, org)
 		}
 	}
+	if len(p.pouches) < len(p.orgs) {
+		p.orgs = slices.DeleteFunc(p.orgs, func(org model.Org) bool { return p.pouches[org] == nil })
+	}
 }
 
 // Return closes every lump, for a planned stop.
 func (p *Purse) Return(out *Needs) {
-	for _, org := range slices.Sorted(maps.Keys(p.pouches)) {
+	for _, org := range p.orgs {
 		o, n := p.pouches[org], Need{org: org}
 		for _, h := range o.lumps {
 			n.uses = append(n.uses, holderUse{holder: h.lump.holder, use: NewUse(h.lump.id, h.spent, true)})
--- a/core/share/sim_test.go
+++ b/core/share/sim_test.go
@@ -379,8 +379,9 @@
 			break
 		}
 	}
+	name := model.Domain(fmt.Sprintf("d%d", domain))
 	for _, n := range s.nodes {
-		if !n.down && s.now >= n.paused && n.member.Domain() == model.Domain(fmt.Sprintf("d%d", domain)) {
+		if !n.down && s.now >= n.paused && n.member.Domain() == name {
 			up = append(up, n)
 		}
 	}
