Limit by latency, queue by rank and organisation, level for callers

Cause: the gate of the thin path has a fixed limit and one queue in order of arrival. Change: the limit follows latency and rejections, the queue is kept by rank and organisation, a level tells callers from which place on to refuse.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,5 +1,6 @@
 // Package admit decides which requests a target runs and when: a concurrency
-// limit with a bounded queue.
+// limit that follows the target's capacity, and a bounded queue that serves by
+// rank, fairly among organisations, and drops what comes too late.
 package admit
 
 import (
@@ -12,14 +13,15 @@
 type Ticket struct {
 	id       uint64
 	org      model.Org
-	rank     model.Rank
+	place    model.Place
+	came     model.Instant
 	deadline model.Instant
 }
 
 // NewTicket returns a ticket. The id is the gate owner's own and stays unique
 // while the ticket is at the gate.
 func NewTicket(id uint64, call model.Call, now model.Instant) Ticket {
-	return Ticket{id: id, org: call.Org(), rank: call.Rank(), deadline: now.Add(call.Left())}
+	return Ticket{id: id, org: call.Org(), place: call.Place(), came: now, deadline: now.Add(call.Left())}
 }
 
 // ID returns the ticket's id.
@@ -72,7 +74,8 @@
 	Rejected struct{}
 	// Failed is a connection to the target that broke.
 	Failed struct{}
-	// Abandoned is a request whose caller went away.
+	// Abandoned is a request whose caller went away, or whose answer says
+	// nothing of the target itself.
 	Abandoned struct{}
 )
 
@@ -87,21 +90,55 @@
 // Took returns the time that the target took.
 func (s Served) Took() time.Duration { return s.took }
 
-// Gate is the admission beside one target. The zero value admits
-// DefaultLimit requests at a time. It is not safe for concurrent use.
+// Gate is the admission beside one target. The zero value admits FirstLimit
+// requests at a time and learns from there. It is not safe for concurrent use.
 type Gate struct {
-	limit   int
+	limiter limiter
+	queue   queue
+	tuner   tuner
 	running map[uint64]model.Instant
-	queue   []Ticket
 	closed  bool
+	off     Part
 }
 
-// Limits of a gate.
+// Part is a set of mechanisms of a gate, as bits.
+type Part uint8
+
+// Parts of a gate. A measurement switches them off one by one.
+const (
+	// PartLimit is the limit that follows latency. Without it the limit is
+	// fixed at FixedLimit.
+	PartLimit Part = 1 << iota
+	// PartFloor is the undoing of cuts that did not lower the latency.
+	PartFloor
+	// PartRank is the choice by rank.
+	PartRank
+	// PartFair is the choice among organisations.
+	PartFair
+	// PartNewest is the choice of the newest under overload.
+	PartNewest
+	// PartLate is the refusal of what cannot meet its deadline.
+	PartLate
+	// PartLevel is the level told to callers.
+	PartLevel
+	// PartStart is the small first limit. Without it a gate starts at
+	// FixedLimit.
+	PartStart
+	// NoParts is the empty set.
+	NoParts Part = 0
+)
+
+// Without returns a gate that lacks some parts, for measurements.
+func Without(off Part) *Gate {
+	g := &Gate{off: off}
+	g.limiter.off, g.queue.off, g.tuner.off = off, off, off
+	return g
+}
+
+// Bounds of a gate.
 const (
-	// DefaultLimit is the number of requests that run at a time.
-	DefaultLimit = 32
-	// QueueFactor is the queue's bound in multiples of the limit.
-	QueueFactor = 2
+	// FixedLimit is the limit of a gate that lacks a part that learns it.
+	FixedLimit = 32
 	// RetryWait is the wait that a refusal of the gate carries.
-	RetryWait = 50 * time.Millisecond
+	RetryWait = 100 * time.Millisecond
 )
--- a/core/admit/command.go
+++ b/core/admit/command.go
@@ -1,10 +1,6 @@
 package admit
 
-import (
-	"slices"
-
-	"anvilstand/core/model"
-)
+import "anvilstand/core/model"
 
 // Offer brings a ticket to the gate. It is started at once, queued, or refused
 // by the error, a *model.Refusal.
@@ -12,41 +8,60 @@
 	if g.closed {
 		return model.Refuse(model.Leaving{}, 0)
 	}
-	if !now.Before(t.deadline) {
+	g.tuner.offered(now, t.place)
+	if g.hopeless(now, t) {
 		return model.Refuse(model.Late{}, 0)
 	}
-	if len(g.running) < g.Limit() {
+	if len(g.running) < g.Limit() && g.queue.size == 0 {
 		g.start(now, t, out)
 		return nil
 	}
-	if len(g.queue) >= g.Limit()*QueueFactor {
-		return model.Refuse(model.QueueFull{}, RetryWait)
+	if victim, full := g.queue.add(t, g.queueBound()); full {
+		g.tuner.shed()
+		refusal := model.Refuse(fullReason(victim, t), RetryWait)
+		if victim.id == t.id {
+			return refusal
+		}
+		out.add(Drop{id: victim.id, refusal: refusal})
 	}
-	g.queue = append(g.queue, t)
+	g.limiter.pressed()
+	g.Tick(now, out)
 	return nil
 }
 
+func fullReason(victim, t Ticket) model.Reason {
+	if victim.place.Rank() > t.place.Rank() {
+		return model.Shed{}
+	}
+	return model.QueueFull{}
+}
+
 // Finish ends a ticket that was started.
-func (g *Gate) Finish(now model.Instant, id uint64, _ Outcome, out *Outbox) {
+func (g *Gate) Finish(now model.Instant, id uint64, o Outcome, out *Outbox) {
+	began, ok := g.running[id]
+	if !ok {
+		return
+	}
 	delete(g.running, id)
+	g.limiter.finish(now, began, o)
+	g.tuner.done(o)
 	g.Tick(now, out)
 }
 
 // Leave takes a ticket out of the queue, because its caller went away.
-func (g *Gate) Leave(id uint64) {
-	g.queue = slices.DeleteFunc(g.queue, func(t Ticket) bool { return t.id == id })
-}
+func (g *Gate) Leave(id uint64) { g.queue.remove(id) }
 
 // Close refuses all tickets from now on, for a planned stop. Those at the gate
 // go on.
 func (g *Gate) Close() { g.closed = true }
 
-// Tick drops the tickets past their deadline and starts what has room.
+// Tick drops the tickets that come too late and starts what has room.
 func (g *Gate) Tick(now model.Instant, out *Outbox) {
-	for len(g.queue) > 0 && len(g.running) < g.Limit() {
-		t := g.queue[0]
-		g.queue = g.queue[1:]
-		if !now.Before(t.deadline) {
+	g.tuner.tick(now, g.limiter.typical())
+	for g.queue.size > 0 && len(g.running) < g.Limit() {
+		t := g.queue.next(g.tuner.standing)
+		if g.hopeless(now, t) {
+			g.tuner.shed()
 			out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
 			continue
 		}
@@ -59,5 +74,10 @@
 		g.running = map[uint64]model.Instant{}
 	}
 	g.running[t.id] = now
+	g.limiter.running(len(g.running))
+	g.tuner.started(now.Sub(t.came))
+	if len(g.running) >= g.Limit() {
+		g.limiter.pressed()
+	}
 	out.add(Start{id: t.id})
 }
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -8,6 +8,7 @@
 	id     Request
 	org    Org
 	rank   Rank
+	order  Order
 	left   time.Duration
 	budget int
 }
@@ -27,6 +28,13 @@
 // Rank returns the request's importance, the same along the whole chain.
 func (c Call) Rank() Rank { return c.rank }
 
+// Order returns the request's position within its rank, the same along the
+// whole chain.
+func (c Call) Order() Order { return c.order }
+
+// Place returns the request's rank and order as one position.
+func (c Call) Place() Place { return PlaceOf(c.rank, c.order) }
+
 // Left returns the time left until the deadline.
 func (c Call) Left() time.Duration { return c.left }
 
@@ -39,6 +47,12 @@
 	return c
 }
 
+// WithOrder returns the call with another order.
+func (c Call) WithOrder(o Order) Call {
+	c.order = o
+	return c
+}
+
 // WithBudget returns the call with another budget of retries.
 func (c Call) WithBudget(n int) Call {
 	c.budget = n
--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -17,6 +17,7 @@
 	v.Set("id", string(c.ID()))
 	v.Set("org", string(c.Org()))
 	v.Set("rank", strconv.Itoa(int(c.Rank())))
+	v.Set("order", strconv.Itoa(int(c.Order())))
 	v.Set("left", strconv.FormatInt(c.Left().Microseconds(), 10))
 	v.Set("budget", strconv.Itoa(c.Budget()))
 	return v.Encode()
@@ -30,12 +31,13 @@
 	}
 	id, org := v.Get("id"), v.Get("org")
 	rank, errRank := strconv.ParseUint(v.Get("rank"), 10, 8)
+	order, errOrder := strconv.ParseUint(v.Get("order"), 10, 8)
 	left, errLeft := strconv.ParseInt(v.Get("left"), 10, 64)
 	budget, errBudget := strconv.ParseUint(v.Get("budget"), 10, 16)
-	bad := errRank != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
+	bad := errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
 	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
 	c := model.NewCall(model.Request(id), model.Org(org), model.Rank(rank))
-	return c.WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget)), nil
+	return c.WithOrder(model.Order(order)).WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget)), nil
 }
