--- a/core/admit/command.go
+++ b/core/admit/command.go
@@ -43,7 +43,7 @@
 		return
 	}
 	delete(g.running, id)
-	g.limiter.finish(now, began, o)
+	g.limiter.finish(now, began, o, len(g.running))
 	g.tuner.done(o)
 	g.Tick(now, out)
 }
--- /dev/null
+++ b/core/admit/dbg.go
@@ -0,0 +1,3 @@
+package admit
+
+func (g *Gate) Dbg() { g.limiter.dbg = true }
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -53,8 +53,10 @@
 	recent float64 // typical latency in seconds
 	failed int
 	cuts   trial
-	since  model.Instant // last cut; what began before says nothing
+	since  model.Instant // what began before says nothing of this limit
+	drains bool          // more run than the limit, after a cut
 	off    Part
+	dbg bool
 }
 
 // window is what was observed since the last decision.
@@ -102,8 +104,13 @@
 // running notes how many requests run.
 func (l *limiter) running(n int) { l.seen.peak = max(l.seen.peak, n) }
 
-func (l *limiter) finish(now, began model.Instant, o Outcome) {
+func (l *limiter) finish(now, began model.Instant, o Outcome, running int) {
 	l.begin(now)
+	if l.drains && running <= l.value() {
+		l.drains = false
+		l.since = now
+		l.seen = window{began: now, peak: running}
+	}
 	switch o := o.(type) {
 	case Served:
 		l.served(began, o.took.Seconds())
@@ -131,6 +138,9 @@
 	if began.Before(l.since) {
 		return
 	}
+	if l.drains {
+		return
+	}
 	l.seen.answers++
 	l.seen.sum += took
 }
@@ -155,7 +165,7 @@
 func (l *limiter) decide(now model.Instant) {
 	w := l.seen
 	n := w.answers + w.rejected
-	if n < windowAnswers || now.Sub(w.began) < max(windowTime, 2*l.typical()) {
+	if l.drains || n < windowAnswers || now.Sub(w.began) < max(windowTime, 2*l.typical()) {
 		return
 	}
 	l.seen = window{began: now}
@@ -164,6 +174,9 @@
 		latency = w.sum / float64(w.answers)
 		l.floor.note(now, latency)
 	}
+	if l.dbg {
+		println(int64(now)/1000000, "limit", int(l.limit), "n", n, "rej", w.rejected, "lat ms", int(latency*1000), "floor", int(l.floor.least*1000), "peak", w.peak, "useless", l.cuts.useless, "pressed", w.pressed, "before", int(l.cuts.before))
+	}
 	switch {
 	case float64(w.rejected) > rejectPart*float64(n):
 		l.cuts = trial{}
@@ -206,6 +219,7 @@
 func (l *limiter) cut(now model.Instant, w window, factor float64) {
 	l.grown = true
 	l.since = now
+	l.drains = true
 	l.set(min(l.limit, float64(w.peak)) * min(leastCut, max(mostCut, factor)))
 }
 
@@ -239,3 +253,4 @@
 func (f *floor) move(now model.Instant, latency float64) {
 	*f = floor{least: latency, current: latency, turn: now}
 }
+
