--- a/core/admit/command.go
+++ b/core/admit/command.go
@@ -13,11 +13,11 @@
 		return model.Refuse(model.Late{}, 0)
 	}
 	if len(g.running) < g.Limit() && g.queue.size == 0 {
+		g.tuner.queued(0)
 		g.start(now, t, out)
 		return nil
 	}
 	if victim, full := g.queue.add(t, g.queueBound()); full {
-		g.tuner.shed()
 		refusal := model.Refuse(fullReason(victim, t), RetryWait)
 		if victim.id == t.id {
 			return refusal
@@ -57,16 +57,16 @@
 
 // Tick drops the tickets that come too late and starts what has room.
 func (g *Gate) Tick(now model.Instant, out *Outbox) {
-	g.tuner.tick(now, g.limiter.typical())
+	g.tuner.tick(now)
 	for g.queue.size > 0 && len(g.running) < g.Limit() {
 		t := g.queue.next(g.tuner.standing)
 		if g.hopeless(now, t) {
-			g.tuner.shed()
-			out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
+				out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
 			continue
 		}
 		g.start(now, t, out)
 	}
+	g.tuner.queued(g.queue.size)
 }
 
 func (g *Gate) start(now model.Instant, t Ticket, out *Outbox) {
@@ -75,7 +75,6 @@
 	}
 	g.running[t.id] = now
 	g.limiter.running(len(g.running))
-	g.tuner.started(now.Sub(t.came))
 	if len(g.running) >= g.Limit() {
 		g.limiter.pressed()
 	}
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -12,9 +12,6 @@
 	levelTime = 100 * time.Millisecond
 	// idleTime is the time without an offer after which all are admitted.
 	idleTime = time.Second
-	// standingPart is the part of the typical latency that the shortest wait
-	// of a window must exceed to count as a standing queue.
-	standingPart = 16
 	// leastKept is the least part of the offers that one change leaves.
 	leastKept = 0.5
 	// mostStep is the largest step by which the level rises.
@@ -33,9 +30,7 @@
 	offers   [model.Places]uint32
 	offerN   int
 	doneN    int
-	shedN    int
-	startN   int
-	shortest time.Duration
+	emptied  bool // the queue was empty at some time in the window
 	off      Part
 }
 
@@ -56,8 +51,6 @@
 	t.offerN++
 }
 
-func (t *tuner) shed() { t.shedN++ }
-
 func (t *tuner) done(o Outcome) {
 	switch o.(type) {
 	case Served, Abandoned:
@@ -66,26 +59,22 @@
 	}
 }
 
-func (t *tuner) started(waited time.Duration) {
-	if t.startN == 0 || waited < t.shortest {
-		t.shortest = waited
-	}
-	t.startN++
-}
+// queued notes how many requests wait.
+func (t *tuner) queued(n int) { t.emptied = t.emptied || n == 0 }
 
 // tick closes a window that is over.
-func (t *tuner) tick(now model.Instant, typical time.Duration) {
+func (t *tuner) tick(now model.Instant) {
 	if now.Sub(t.began) < levelTime {
 		return
 	}
-	t.standing = t.startN > 0 && t.shortest > typical/standingPart || t.startN == 0 && t.shedN > 0
+	t.standing = !t.emptied && t.offerN > 0
 	if t.standing {
 		t.fall()
 	} else {
 		t.rise()
 	}
 	clear(t.offers[:])
-	t.offerN, t.doneN, t.shedN, t.startN, t.shortest = 0, 0, 0, 0, 0
+	t.offerN, t.doneN, t.emptied = 0, 0, false
 	t.began = now
 }
 
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -18,8 +18,13 @@
 	// Tolerance is the latency, in multiples of the least one, that is not
 	// taken for queueing at the target.
 	Tolerance = 1.3
-	// startGrowth is what one answer adds to the limit while it is new.
-	startGrowth = 0.25
+	// coldGrowth is the most that one answer adds to the limit of a target
+	// that may be cold.
+	coldGrowth = 1.0 / 4
+	// warmAnswers is the number of answers, in multiples of the limit, after
+	// which a target counts as warm. It is more than 1/coldGrowth, so that a
+	// limit that still grows with each answer does not reach it.
+	warmAnswers = 20
 	// leastCut and mostCut bound the factor of one cut.
 	leastCut = 0.95
 	mostCut  = 0.5
@@ -31,10 +36,11 @@
 	// coldFailures is the number of broken connections in a row, without an
 	// answer between, after which a target counts as cold.
 	coldFailures = 3
-	// windowTime and windowAnswers close a window of observation, both
-	// together.
-	windowTime    = 100 * time.Millisecond
-	windowAnswers = 20
+	// windowTime and twice as many answers as the limit, within these bounds,
+	// close a window of observation, both together.
+	windowTime   = 100 * time.Millisecond
+	leastAnswers = 8
+	mostAnswers  = 20
 	// floorTime is how long the least latency is remembered at least.
 	floorTime = 10 * time.Second
 	// typicalWeight is the weight of a new answer in the typical latency.
@@ -47,7 +53,8 @@
 type limiter struct {
 	limit  float64
 	begun  bool
-	grown  bool // left its first, fast growth
+	warm   bool
+	served int // answers since the start
 	seen   window
 	floor  floor
 	recent float64 // typical latency in seconds
@@ -113,7 +120,7 @@
 	}
 	switch o := o.(type) {
 	case Served:
-		l.served(began, o.took.Seconds())
+		l.answer(began, o.took.Seconds())
 	case Rejected:
 		l.failed = 0
 		if !began.Before(l.since) {
@@ -126,15 +133,14 @@
 	l.decide(now)
 }
 
-func (l *limiter) served(began model.Instant, took float64) {
+func (l *limiter) answer(began model.Instant, took float64) {
 	l.failed = 0
+	l.served++
+	l.warm = l.warm || float64(l.served) >= warmAnswers*l.limit
 	if l.recent == 0 {
 		l.recent = took
 	}
 	l.recent += (took - l.recent) * typicalWeight
-	if !l.grown && l.seen.pressed {
-		l.set(l.limit + startGrowth)
-	}
 	if began.Before(l.since) {
 		return
 	}
@@ -165,7 +171,7 @@
 func (l *limiter) decide(now model.Instant) {
 	w := l.seen
 	n := w.answers + w.rejected
-	if l.drains || n < windowAnswers || now.Sub(w.began) < max(windowTime, 2*l.typical()) {
+	if l.drains || n < min(mostAnswers, max(leastAnswers, 2*l.value())) || now.Sub(w.began) < max(windowTime, 2*l.typical()) {
 		return
 	}
 	l.seen = window{began: now}
@@ -186,11 +192,19 @@
 	default:
 		l.cuts = trial{}
 		if w.pressed {
-			l.set(l.limit + math.Sqrt(l.limit))
+			l.set(l.limit + l.growth(w))
 		}
 	}
 }
 
+// growth returns what a window without queueing adds to the limit.
+func (l *limiter) growth(w window) float64 {
+	if !l.warm && l.off&PartStart == 0 {
+		return coldGrowth * float64(w.answers)
+	}
+	return math.Sqrt(l.limit)
+}
+
 // slow cuts the limit because of latency, unless the cuts before had no effect:
 // then the latency is not queueing at the target, and they are undone.
 func (l *limiter) slow(now model.Instant, w window, latency float64) {
@@ -217,7 +231,6 @@
 
 // cut lowers the limit to a part of what ran.
 func (l *limiter) cut(now model.Instant, w window, factor float64) {
-	l.grown = true
 	l.since = now
 	l.drains = true
 	l.set(min(l.limit, float64(w.peak)) * min(leastCut, max(mostCut, factor)))
--- a/tools/surge/plan.go
+++ b/tools/surge/plan.go
@@ -77,7 +77,7 @@
 func overload(load float64, seed uint64) plan {
 	return plan{
 		control: true, seed: seed, load: load, trigger: calm{}, orgs: eight(), tries: 5,
-		begin: 4 * time.Second, end: 12 * time.Second, lasts: 12 * time.Second,
+		begin: 5 * time.Second, end: 13 * time.Second, lasts: 13 * time.Second,
 	}
 }
 
--- a/tools/surge/tally.go
+++ b/tools/surge/tally.go
@@ -92,7 +92,7 @@
 
 func sum(list []float64, from, to time.Duration) float64 {
 	total := 0.0
-	for i := int(from / slot); i < int(to/slot) && i < len(list); i++ {
+	for i := max(0, int(from/slot)); i < int(to/slot) && i < len(list); i++ {
 		total += list[i]
 	}
 	return total
