--- a/core/admit/command.go
+++ b/core/admit/command.go
@@ -61,7 +61,7 @@
 	for g.queue.size > 0 && len(g.running) < g.Limit() {
 		t := g.queue.next(g.tuner.standing)
 		if g.hopeless(now, t) {
-				out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
+			out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
 			continue
 		}
 		g.start(now, t, out)
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -63,7 +63,7 @@
 	since  model.Instant // what began before says nothing of this limit
 	drains bool          // more run than the limit, after a cut
 	off    Part
-	dbg bool
+	dbg    bool
 }
 
 // window is what was observed since the last decision.
@@ -266,4 +266,3 @@
 func (f *floor) move(now model.Instant, latency float64) {
 	*f = floor{least: latency, current: latency, turn: now}
 }
-
--- a/core/route/command.go
+++ b/core/route/command.go
@@ -26,7 +26,7 @@
 	if s.levels == nil {
 		s.levels = map[Path]level{}
 	}
-	s.levels[path] = level{place: r.level, until: now.Add(LevelTime)}
+	s.levels[path] = level{place: r.level, told: now}
 }
 
 // Keep forgets all targets that are not named.
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -114,15 +114,18 @@
 	return max(0, s.load+float64(s.sent-s.then)/float64(limit))
 }
 
+// level returns a target's level. It opens the more the older it is.
 func (t *Table) level(now model.Instant, name model.Instance, path Path) model.Place {
 	s := t.targets[name]
 	if s == nil {
 		return model.Places
 	}
-	if l, ok := s.levels[path]; ok && now.Before(l.until) {
-		return l.place
+	l, ok := s.levels[path]
+	if !ok {
+		return model.Places
 	}
-	return model.Places
+	old := now.Sub(l.told).Seconds() / LevelTime.Seconds()
+	return model.Place(min(float64(model.Places), float64(l.place)+old*old*float64(model.Places)))
 }
 
 // spill returns the candidates of the own failure domain, or all when there
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -77,7 +77,7 @@
 
 type level struct {
 	place model.Place
-	until model.Instant
+	told  model.Instant
 }
 
 // candidate is a target that a request may go to.
@@ -113,7 +113,8 @@
 
 // Bounds of a table.
 const (
-	// LevelTime is how long a level holds without a newer one.
+	// LevelTime is the age at which a level admits all. It opens with the
+	// square of its age.
 	LevelTime = time.Second
 	// LoadTime is how long a reported load counts.
 	LoadTime = time.Second
--- a/tools/surge/client.go
+++ b/tools/surge/client.go
@@ -73,6 +73,9 @@
 	defaultPart = 0.6
 )
 
+// ranks are the ranks drawn.
+var ranks = []model.Rank{model.RankTop, model.RankDefault, model.RankDefault + 2}
+
 func (w *world) drawRank() model.Rank {
 	x := w.rnd.Float64()
 	switch {
--- a/tools/surge/result.go
+++ b/tools/surge/result.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"anvilstand/core/model"
 )
 
 // result is what a run measured between begin and end of its plan.
@@ -59,25 +61,46 @@
 }
 
 // worst returns the least part of its fair part that an organisation got. The
-// fair parts divide the capacity evenly, none above what it may ask for.
+// fair parts divide the capacity evenly, none above what it may ask for, rank
+// by rank.
 func (w *world) worst() float64 {
 	p := w.plan
 	seconds := (p.end - p.begin).Seconds()
-	asked := make([]float64, len(p.orgs))
-	for i, o := range p.orgs {
-		asked[i] = sumOf(w.tally.wished, orgName(i), p.begin, p.end) / seconds
-		if o.rate > 0 {
-			asked[i] = min(asked[i], o.rate*w.capacity)
+	fair := make([]float64, len(p.orgs))
+	left := w.capacity
+	for _, r := range ranks {
+		asked := make([]float64, len(p.orgs))
+		for i := range p.orgs {
+			asked[i] = w.asked(i, r) / seconds
+		}
+		for i, part := range fairParts(asked, left) {
+			fair[i] += part
+			left -= part
 		}
 	}
 	worst := 1.0
-	for i, fair := range fairParts(asked, w.capacity) {
+	for i := range p.orgs {
 		got := sumOf(w.tally.byOrg, orgName(i), p.begin, p.end) / seconds
-		worst = min(worst, got/fair)
+		worst = min(worst, got/fair[i])
 	}
 	return worst
 }
 
+// asked returns how many requests of a rank an organisation may ask for during
+// the measurement.
+func (w *world) asked(i int, r model.Rank) float64 {
+	p := w.plan
+	all := 0.0
+	for _, other := range ranks {
+		all += sumOf(w.tally.wished, rankName(i, other), p.begin, p.end)
+	}
+	n := sumOf(w.tally.wished, rankName(i, r), p.begin, p.end)
+	if rate := p.orgs[i].rate * w.capacity * (p.end - p.begin).Seconds(); rate > 0 && rate < all {
+		n *= rate / all
+	}
+	return n
+}
+
 // fairParts divides a capacity by max-min fairness.
 func fairParts(asked []float64, capacity float64) []float64 {
 	order := make([]int, len(asked))
--- a/tools/surge/tally.go
+++ b/tools/surge/tally.go
@@ -44,7 +44,7 @@
 }
 
 func (t *tally) wish(now instant, h *wish) {
-	t.wished[window{orgName(h.org), slotOf(now)}]++
+	t.wished[window{rankName(h.org, h.rank), slotOf(now)}]++
 }
 
 func (t *tally) fulfilled(now instant, h *wish, work float64) {
@@ -56,6 +56,8 @@
 
 func orgName(i int) string { return string(rune('0' + i)) }
 
+func rankName(i int, r model.Rank) string { return orgName(i) + "/" + string(rune('0'+r)) }
+
 func (t *tally) wasted(now instant, work float64) { add(&t.vain, now, work) }
 
 func (t *tally) window(now instant, s model.Service) *count {
