--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -36,10 +36,21 @@
 	return strings.Join(lines, "\n")
 }
 
+// join adds faults of fields that have none yet.
+func (all Faults) join(more Faults) Faults {
+	for _, f := range more {
+		if !slices.ContainsFunc(all, func(g Fault) bool { return g.field == f.field }) {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body",
+	"operators", "deadline", "grace", "budget", "body", "conns", "cert", "key", "authority",
+	"seeds", "isolation",
 }
 
 func unknownFields(text []byte) Faults {
@@ -112,9 +123,14 @@
 	}
 	const seconds = "seconds, above 0 and up to 3600"
 	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
+	need(p.isolation > 0 && p.isolation.Seconds() <= maxTime, "isolation", seconds)
+	need(!slices.ContainsFunc(p.seeds, isNoAddress), "seeds", "a list of addresses as host:port with an IP number")
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
+	need(p.conns > 0, "conns", "connections, above 0")
+	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
+	need(whole, "cert", "cert, key and authority are set together or not at all")
 	return faults
 }
 
@@ -123,6 +139,8 @@
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
+func isNoAddress(s string) bool { return !isAddress(s) }
+
 func isBase(s string) bool {
 	u, err := url.Parse(s)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
