Fronts choose targets by levels and loads, and tell their own

Cause: the front knew only its own requests under way, and a chain was shed half way down. Change: the header Level carries level, load and limit of a target between daemons; route.Table chooses by them; orders ride with calls; an error after a refused call below says nothing of the target.

--- a/core/admit/dbg.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package admit
-
-func (g *Gate) Dbg() { g.limiter.dbg = true }
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -63,7 +63,6 @@
 	since  model.Instant // what began before says nothing of this limit
 	drains bool          // more run than the limit, after a cut
 	off    Part
-	dbg    bool
 }
 
 // window is what was observed since the last decision.
@@ -180,9 +179,6 @@
 		latency = w.sum / float64(w.answers)
 		l.floor.note(now, latency)
 	}
-	if l.dbg {
-		println(int64(now)/1000000, "limit", int(l.limit), "n", n, "rej", w.rejected, "lat ms", int(latency*1000), "floor", int(l.floor.least*1000), "peak", w.peak, "useless", l.cuts.useless, "pressed", w.pressed, "before", int(l.cuts.before))
-	}
 	switch {
 	case float64(w.rejected) > rejectPart*float64(n):
 		l.cuts = trial{}
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -47,8 +47,12 @@
 	return x.member, nil
 }
 
-// Level returns the highest level known of the members on a path.
+// Level returns the highest level known of the members on a path. Without a
+// member it is model.Places.
 func (t *Table) Level(now model.Instant, members []fleet.Member, path Path) model.Place {
+	if len(members) == 0 {
+		return model.Places
+	}
 	highest := model.Place(0)
 	for _, m := range members {
 		highest = max(highest, t.level(now, m.Name(), path))
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,155 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+	"anvilstand/core/route"
+)
+
+const second = model.Instant(time.Second)
+
+var members = []fleet.Member{
+	fleet.NewMember("n1", "north", "stock", ""),
+	fleet.NewMember("n2", "north", "stock", ""),
+	fleet.NewMember("e1", "east", "stock", ""),
+	fleet.NewMember("s1", "south", "stock", ""),
+}
+
+// picks draws many choices and returns the targets chosen, or the refusals.
+func picks(t *route.Table, now model.Instant, list []fleet.Member, place model.Place) map[string]bool {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	got := map[string]bool{}
+	for range 200 {
+		m, err := t.Pick(now, rnd, list, route.NewAsk("north", "GET /", place))
+		if err != nil {
+			got[err.Error()] = true
+			continue
+		}
+		got[string(m.Name())] = true
+	}
+	return got
+}
+
+func TestPick(t *testing.T) {
+	open, full := route.NewReport(model.Places, 0.2, 10), route.NewReport(model.Places, 1.5, 10)
+	cases := map[string]struct {
+		setup func(*route.Table)
+		list  []fleet.Member
+		place model.Place
+		now   model.Instant
+		want  map[string]bool
+	}{
+		"the own failure domain first": {
+			list: members, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"others when it is gone": {
+			list: members[2:], want: map[string]bool{"e1": true, "s1": true},
+		},
+		"no target": {
+			want: map[string]bool{"refused: notarget, run: not": true},
+		},
+		"others when it is full": {
+			setup: func(t *route.Table) {
+				t.Learn(0, "n1", "GET /", full)
+				t.Learn(0, "n2", "GET /", full)
+				t.Learn(0, "e1", "GET /", open)
+				t.Learn(0, "s1", "GET /", open)
+			},
+			list: members, want: map[string]bool{"e1": true, "s1": true, "n1": true, "n2": true},
+		},
+		"back when the report is old": {
+			setup: func(t *route.Table) {
+				t.Learn(0, "n1", "GET /", full)
+				t.Learn(0, "n2", "GET /", full)
+			},
+			list: members, now: 2 * second, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"not one whose level refuses": {
+			setup: func(t *route.Table) { t.Learn(0, "n1", "GET /", route.NewReport(1000, 0.9, 10)) },
+			list:  members, place: 1000, want: map[string]bool{"n2": true},
+		},
+		"a more important one passes the level": {
+			setup: func(t *route.Table) { t.Learn(0, "n1", "GET /", route.NewReport(1000, 0.2, 10)) },
+			list:  members, place: 999, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"refused early when all levels refuse": {
+			setup: func(t *route.Table) {
+				for _, m := range members {
+					t.Learn(0, m.Name(), "GET /", route.NewReport(1000, 0.9, 10))
+				}
+			},
+			list: members, place: 1000, want: map[string]bool{"refused: shed, run: not": true},
+		},
+		"the level of another path does not count": {
+			setup: func(t *route.Table) { t.Learn(0, "n1", "POST /", route.NewReport(1, 0.2, 10)) },
+			list:  members, place: 1000, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"an outlier is set aside": {
+			setup: func(t *route.Table) { breakOff(t, "n1") },
+			list:  members, want: map[string]bool{"n2": true},
+		},
+		"a third at most is set aside": {
+			setup: func(t *route.Table) { breakOff(t, "n1"); breakOff(t, "n2") },
+			list:  members, want: map[string]bool{"n2": true},
+		},
+		"an outlier comes back": {
+			setup: func(t *route.Table) { breakOff(t, "n1") },
+			list:  members, now: 2 * second, want: map[string]bool{"n1": true, "n2": true},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var table route.Table
+			if tc.setup != nil {
+				tc.setup(&table)
+			}
+			if diff := cmp.Diff(tc.want, picks(&table, tc.now, tc.list, tc.place)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func breakOff(t *route.Table, name model.Instance) {
+	for range route.OutlierAttempts {
+		t.Send(name)
+		t.Finish(0, name, route.Broken{})
+	}
+}
+
+func TestPickPrefersTheLessLoaded(t *testing.T) {
+	var table route.Table
+	table.Learn(0, "n1", "GET /", route.NewReport(model.Places, 0.9, 10))
+	table.Learn(0, "n2", "GET /", route.NewReport(model.Places, 0.1, 10))
+	rnd := rand.New(rand.NewPCG(1, 2))
+	got := map[model.Instance]int{}
+	for range 1000 {
+		m, _ := table.Pick(0, rnd, members, route.NewAsk("north", "GET /", 0))
+		got[m.Name()]++
+	}
+	if got["n1"] < 200 || got["n1"] > 300 {
+		t.Errorf("the loaded one of two was chosen %d times of 1000, want about a quarter", got["n1"])
+	}
+}
+
+func TestLevelOpensWithAge(t *testing.T) {
+	var table route.Table
+	table.Learn(0, "n1", "GET /", route.NewReport(100, 1, 10))
+	last := model.Place(0)
+	for now := model.Instant(0); now <= second; now += second / 10 {
+		level := table.Level(now, members[:1], "GET /")
+		if level < last {
+			t.Fatalf("level fell from %d to %d", last, level)
+		}
+		last = level
+	}
+	if diff := cmp.Diff(model.Places, last); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -10,32 +10,37 @@
 
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/route"
 	"anvilstand/io/codec"
 )
 
 // attempt sends a request to one target's daemon. An error is a refusal.
 func (f *Front) attempt(ctx context.Context, j job, p *parcel, tried map[model.Instance]bool) (*http.Response, error) {
-	m, ok := f.picker.pick(j.view, j.service, tried)
-	if !ok {
-		return nil, model.Refuse(model.NoTarget{}, 0)
+	m, level, err := f.picker.pick(j, tried)
+	if err != nil {
+		f.running.note(j.parent, j.service, level)
+		return nil, err
 	}
 	tried[m.Name()] = true
 	if deadline, ok := ctx.Deadline(); ok {
 		j.call = j.call.WithLeft(time.Until(deadline))
 	}
-	f.picker.add(m.Name(), 1)
 	from, err := send(f.peers, f.peerRequest(ctx, j, p, m))
 	if err == nil {
+		if r, ok := takeReport(from.Header); ok {
+			f.picker.learn(j, m.Name(), r)
+			f.running.note(j.parent, j.service, r.Level())
+		}
 		if refusal, is := readRefusal(from); is {
 			_ = from.Body.Close()
 			err = refusal
 		}
 	}
 	if err != nil {
-		f.picker.add(m.Name(), -1)
+		f.picker.finish(m.Name(), endOf(ctx, err))
 		return nil, err
 	}
-	from.Body = &closing{ReadCloser: from.Body, done: func() { f.picker.add(m.Name(), -1) }}
+	from.Body = &closing{ReadCloser: from.Body, done: func() { f.picker.finish(m.Name(), route.Answered{}) }}
 	return from, nil
 }
 
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -20,6 +20,7 @@
 	route   conf.Route
 	path    string
 	key     string
+	parent  string // token of the request that the target makes the call for
 }
 
 // Callers serves callers: clients, and the target beside this daemon.
@@ -32,6 +33,7 @@
 	}
 	if err != nil {
 		refusal := refusalOf(err)
+		f.running.refuse(j.parent)
 		f.meter.Refuse(j.call.Org(), refusal.Reason())
 		writeRefusal(w, refusal)
 		return
@@ -73,7 +75,7 @@
 	if !ok {
 		return j, model.Refuse(model.BadRequest{}, 0)
 	}
-	j.call = call
+	j.call, j.parent = call, token
 	return j, nil
 }
 
@@ -87,7 +89,7 @@
 	if err != nil {
 		return j, err
 	}
-	j.call = j.call.WithLeft(left).WithBudget(f.prefs.Budget())
+	j.call = f.picker.order(j.call.WithLeft(left).WithBudget(f.prefs.Budget()))
 	if org == "" {
 		return j, nil
 	}
@@ -164,10 +166,17 @@
 	}
 	switch refusal.Run().(type) {
 	case model.NotRun:
-		_, none := refusal.Reason().(model.NoTarget)
-		return model.RetryRefused{}, !none
+		return model.RetryRefused{}, elsewhere(refusal.Reason())
 	case model.MayHaveRun:
 		return model.RetryIdempotent{}, j.route.Idempotent()
 	}
 	return nil, false
 }
+
+// elsewhere reports whether another target may do what one refused for a
+// reason. Shedding holds for the service.
+func elsewhere(r model.Reason) bool {
+	_, none := r.(model.NoTarget)
+	_, shed := r.(model.Shed)
+	return !none && !shed
+}
--- a/io/front/flight.go
+++ b/io/front/flight.go
@@ -19,6 +19,9 @@
 type flight struct {
 	call  model.Call
 	until time.Time
+	// levels are those that calls below met, by service.
+	levels  map[model.Service]model.Place
+	refused bool // a call below was refused
 }
 
 func (f *flights) begin(call model.Call) string {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -38,7 +38,7 @@
 		clock:  c,
 		gate:   gate{clock: c},
 		purse:  purse{clock: c},
-		picker: picker{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		picker: picker{clock: c, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		peers:  newTransport(peers),
 		target: newTransport(target),
 	}
--- a/io/front/gate.go
+++ b/io/front/gate.go
@@ -7,6 +7,7 @@
 
 	"anvilstand/core/admit"
 	"anvilstand/core/model"
+	"anvilstand/core/route"
 	"anvilstand/io/clock"
 )
 
@@ -84,6 +85,13 @@
 	g.act(&out)
 }
 
+// report is what the gate tells callers' daemons.
+func (g *gate) report() route.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return route.NewReport(g.core.Level(), g.core.Load(), g.core.Limit())
+}
+
 // close refuses new tickets.
 func (g *gate) close() {
 	g.mu.Lock()
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -23,6 +23,9 @@
 	headerDeadline = "Deadline"
 	// headerRefusal marks an answer as a daemon's refusal, with its reason.
 	headerRefusal = "Refusal"
+	// headerLevel carries between daemons what the callee's tells of its
+	// target.
+	headerLevel = "Level"
 	// headerKey carries a key, as an alternative to Authorization.
 	headerKey = "Key"
 )
@@ -35,7 +38,11 @@
 		Wait   int64  `json:"wait"`
 	}{model.ReasonName(r.Reason()), model.RunName(r.Run()), r.Wait().Milliseconds()})
 	h := w.Header()
+	level := h.Get(headerLevel)
 	clear(h)
+	if level != "" {
+		h.Set(headerLevel, level)
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRefusal, model.ReasonName(r.Reason()))
 	if r.Wait() > 0 {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -23,6 +23,7 @@
 		err = f.relay(w, r, call)
 	}
 	if err != nil {
+		w.Header().Set(headerLevel, f.report(""))
 		writeRefusal(w, refusalOf(err))
 	}
 }
@@ -54,16 +55,23 @@
 	defer f.running.end(token)
 	from, err := send(f.target, f.targetRequest(ctx, r, token))
 	if err != nil {
+		outcome = failureOf(ctx)
 		return err
 	}
 	defer from.Body.Close()
 	from.Header.Del(headerRefusal)
-	outcome = outcomeOf(from, time.Since(began))
+	from.Header.Set(headerLevel, f.report(token))
+	outcome = outcomeOf(from, time.Since(began), f.running.refused(token))
 	answer(w, from)
 	return nil
 }
 
-func outcomeOf(from *http.Response, took time.Duration) admit.Outcome {
+// outcomeOf returns what an answer says of the target. An error after a call
+// below was refused says nothing of it.
+func outcomeOf(from *http.Response, took time.Duration, below bool) admit.Outcome {
+	if below && from.StatusCode >= http.StatusInternalServerError {
+		return admit.Abandoned{}
+	}
 	if from.StatusCode == http.StatusServiceUnavailable || from.StatusCode == http.StatusTooManyRequests {
 		return admit.Rejected{}
 	}
--- a/tools/surge/result.go
+++ b/tools/surge/result.go
@@ -31,7 +31,7 @@
 	}
 	w.after(p.begin, func() { w.start(p.trigger) })
 	w.after(p.end, func() { w.stop(p.trigger) })
-	w.sim.run(instant(p.lasts))
+	w.run(instant(p.lasts))
 	return w.measure()
 }
 
@@ -132,21 +132,26 @@
 		return 0
 	}
 	before := sum(t.good, p.begin-3*time.Second, p.begin) / 3
-	for at := p.end; at+time.Second <= p.lasts; at += slot {
+	end := p.end
+	if _, ok := p.trigger.(coldThird); ok {
+		end = p.begin
+	}
+	for at := end; at+time.Second <= p.lasts; at += slot {
 		rest := sum(t.good, at, p.lasts) / (p.lasts - at).Seconds()
 		if sum(t.good, at, at+time.Second) >= recovered*before && rest >= recovered*before {
-			return at - p.end
+			return at - end
 		}
 	}
 	return never
 }
 
-// inverted slides a window of one second over each service.
+// inverted slides a window of one second over each service, from begin on:
+// before, all gates start cold at once.
 func (w *world) inverted() int {
 	most := 0
 	for _, s := range w.graph.services {
 		flight := s.endpoints * s.slots
-		for i := range int((w.plan.lasts - time.Second) / slot) {
+		for i := int(w.plan.begin / slot); i <= int((w.plan.lasts-time.Second)/slot); i++ {
 			var c count
 			for k := range int(time.Second / slot) {
 				if got := w.tally.windows[window{string(s.name), i + k}]; got != nil {
--- a/tools/surge/world.go
+++ b/tools/surge/world.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"anvilstand/core/admit"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
@@ -161,7 +163,8 @@
 	to.waiting[id] = func(r *model.Refusal) {
 		if r != nil {
 			w.tally.refuse(w.now, c, r)
-			done(false, route.Answered{}, true, 0)
+			_, shed := r.Reason().(model.Shed)
+			done(false, route.Answered{}, !shed, 0)
 			return
 		}
 		w.tally.start(w.now, c)
@@ -180,8 +183,9 @@
 	}
 	t := admit.NewTicket(id, c.call.WithLeft(c.deadline.Sub(w.now)), w.now)
 	var out admit.Outbox
-	if err := to.gate.Offer(w.now, t, &out); err != nil {
-		to.decide(id, err.(*model.Refusal))
+	var refusal *model.Refusal
+	if err := to.gate.Offer(w.now, t, &out); errors.As(err, &refusal) {
+		to.decide(id, refusal)
 	}
 	to.act(&out)
 	if _, still := to.waiting[id]; still {
