Levels fall by a tenth at most, and rise by eight at least

Change: a window lowers the level to nine tenths of its offers at most, in place of a half, and raises it by 8 places, in place of 1.

--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -13,9 +13,10 @@
 	// idleTime is the time without an offer after which all are admitted.
 	idleTime = time.Second
 	// leastKept is the least part of the offers that one change leaves.
-	leastKept = 0.5
-	// mostStep is the largest step by which the level rises.
-	mostStep = 256
+	leastKept = 0.9
+	// leastStep and mostStep bound the step by which the level rises.
+	leastStep = 8
+	mostStep  = 256
 )
 
 // tuner finds the level: the place from which on callers should refuse. It
@@ -100,7 +101,7 @@
 	if !t.bounded {
 		return
 	}
-	t.step = min(mostStep, max(1, t.step*2))
+	t.step = min(mostStep, max(leastStep, t.step*2))
 	t.level = min(model.Places, t.level+t.step)
 	t.bounded = t.level < model.Places
 }
