Confirmations go up the tree, and force counts them

Cause: force told what one watcher of a domain had, not who had confirmed. Change: heartbeats carry how many daemons the sender speaks for and the lowest revision among them; force says in force only when all members recorded have confirmed within the last seconds, else pending with the cause.

--- a/core/peer/fleet.go
+++ b/core/peer/fleet.go
@@ -14,6 +14,39 @@
 	digest   uint64
 	outside  time.Duration
 	answer   bool
+	covered  Covered
+}
+
+// Covered is how many daemons a sender speaks for, itself among them, and the
+// lowest revision that one of them has in force.
+type Covered struct {
+	daemons int
+	lowest  model.Revision
+}
+
+// NewCovered returns the sum of what a sender speaks for.
+func NewCovered(daemons int, lowest model.Revision) Covered {
+	return Covered{daemons: daemons, lowest: lowest}
+}
+
+// Daemons returns the number of daemons.
+func (c Covered) Daemons() int { return c.daemons }
+
+// Lowest returns the lowest revision in force.
+func (c Covered) Lowest() model.Revision { return c.lowest }
+
+// And returns the sum of two.
+func (c Covered) And(o Covered) Covered {
+	return Covered{daemons: c.daemons + o.daemons, lowest: min(c.lowest, o.lowest)}
+}
+
+// Covered returns what the sender speaks for.
+func (b Beat) Covered() Covered { return b.covered }
+
+// WithCovered returns the beat with what the sender speaks for.
+func (b Beat) WithCovered(c Covered) Beat {
+	b.covered = c
+	return b
 }
 
 // NewBeat returns a heartbeat. The digest is that of the roster; outside is how
--- a/core/query/answer.go
+++ b/core/query/answer.go
@@ -8,6 +8,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 )
 
 // Table is an answer: named columns and rows of as many cells.
@@ -39,8 +40,13 @@
 	// Domains returns the failure domains known.
 	Domains() []model.Domain
 	// Heard returns how long ago another failure domain was heard here, and
-	// the revision it then had in force.
-	Heard(model.Domain) (time.Duration, model.Revision, bool)
+	// how many of its daemons had then confirmed which revision.
+	Heard(model.Domain) (time.Duration, peer.Covered, bool)
+	// Covered returns the daemons of the own failure domain that have
+	// confirmed to this one: all that answer, if it is a watcher.
+	Covered() peer.Covered
+	// Watching reports whether this daemon is a watcher.
+	Watching() bool
 	// Members returns the daemons known.
 	Members() []fleet.Member
 	// Served returns the requests of an organisation served and refused here,
--- a/core/query/force.go
+++ b/core/query/force.go
@@ -5,42 +5,57 @@
 	"time"
 
 	"anvilstand/core/change"
+	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 )
 
-// stale is the age from which what was heard of a failure domain is reported
-// with a warning.
-const stale = 5 * time.Second
+// stale is the age from which what was heard of a failure domain no longer
+// counts as a confirmation.
+const stale = 10 * time.Second
 
 func answerForce(s Source) *Table {
-	t := NewTable("domain", "revision", "state")
-	here := s.Config().Revision()
-	t.Add(string(s.Self().Domain()), fmt.Sprint(here), "in force at "+string(s.Self().Name()))
+	t := NewTable("domain", "revision", "confirmed", "state")
+	here, own := s.Config().Revision(), s.Self().Domain()
+	t.Add(string(own), fmt.Sprint(here), "", "in force at "+string(s.Self().Name()))
 	for _, d := range s.Domains() {
-		if d == s.Self().Domain() {
-			continue
+		known := members(s.Members(), d)
+		age, covered, ok := s.Heard(d)
+		if d == own {
+			age, covered, ok = 0, s.Covered(), s.Watching()
 		}
-		age, rev, ok := s.Heard(d)
 		if !ok {
-			t.Add(string(d), "", "not known, never heard here")
+			t.Add(string(d), "", "", "not known at this daemon, ask a watcher")
 			continue
 		}
-		t.Add(string(d), fmt.Sprint(rev), forceState(here, rev, age))
+		confirmed := fmt.Sprintf("%d of %d", covered.Daemons(), known)
+		t.Add(string(d), fmt.Sprint(covered.Lowest()), confirmed, forceState(here, covered, known, age))
 	}
 	return t
 }
 
-// forceState says what is known of another failure domain and not more: one of
-// its daemons had the revision when it was last heard.
-func forceState(here, there model.Revision, age time.Duration) string {
+func members(all []fleet.Member, d model.Domain) int {
+	n := 0
+	for _, m := range all {
+		if m.Domain() == d {
+			n++
+		}
+	}
+	return n
+}
+
+// forceState says what is known of a failure domain and not more.
+func forceState(here model.Revision, c peer.Covered, known int, age time.Duration) string {
 	heard := fmt.Sprintf("last heard %d s ago", int(age.Seconds()))
 	switch {
-	case there < here:
-		return "pending, " + heard
 	case age > stale:
-		return "in force at its watcher, silent since, " + heard
+		return "pending, " + heard
+	case c.Lowest() < here:
+		return "pending, a daemon has " + fmt.Sprint(c.Lowest()) + ", " + heard
+	case c.Daemons() < known:
+		return fmt.Sprintf("pending, %d daemons have not confirmed, %s", known-c.Daemons(), heard)
 	}
-	return "in force at its watcher, " + heard
+	return "in force, " + heard
 }
 
 func answerHistory(s Source) *Table {
--- a/core/spread/command.go
+++ b/core/spread/command.go
@@ -138,12 +138,12 @@
 	n.row.valid = false
 	n.announce(now, out)
 	list, place := n.order(now)
-	beat := n.beat(now)
+	beat := n.beat(now).WithCovered(n.below(now))
 	if first, second, ok := parents(place); ok {
 		n.askParents(now, [2]model.Instance{list[first].Name(), list[min(second, len(list)-1)].Name()}, beat, out)
 	}
 	if place < Watchers {
-		n.beatAbroad(now, beat, out)
+		n.beatAbroad(now, beat.WithCovered(n.Covered(now)), out)
 		for i := range min(Watchers, len(list)) {
 			if i != place {
 				n.ask(now, list[i].Name(), beat, out)
--- a/core/spread/hear.go
+++ b/core/spread/hear.go
@@ -50,11 +50,8 @@
 	if then := now.Add(-b.Outside()); n.outside.Before(then) {
 		n.outside = then
 	}
-	if m, ok := n.roster.Find(p.Peer()); ok && m.Domain() != n.self.Domain() {
-		if n.heard == nil {
-			n.heard = map[model.Domain]Heard{}
-		}
-		n.heard[m.Domain()] = Heard{when: now, revision: b.Revision()}
+	if b.Covered().Daemons() > 0 {
+		n.confirm(now, p, b.Covered())
 	}
 	if !b.IsAnswer() {
 		out.Answer(p, n.beat(now).AsAnswer())
@@ -65,6 +62,20 @@
 	}
 }
 
+// confirm notes what a sender speaks for.
+func (n *Node) confirm(now model.Instant, p peer.Post, c peer.Covered) {
+	if m, ok := n.roster.Find(p.Peer()); ok && m.Domain() != n.self.Domain() {
+		if n.heard == nil {
+			n.heard = map[model.Domain]Heard{}
+		}
+		n.heard[m.Domain()] = Heard{when: now, covered: c}
+		return
+	}
+	known := n.contact(now, p.Peer())
+	known.covered, known.told = c, now
+	n.remember(p.Peer(), known)
+}
+
 func (n *Node) want() peer.Want {
 	versions := map[model.Domain]uint64{}
 	for _, d := range n.roster.Domains() {
--- a/core/spread/query.go
+++ b/core/spread/query.go
@@ -8,6 +8,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 )
 
 // Self returns the daemon's own member.
@@ -167,3 +168,38 @@
 	}
 	return fleet.Announce(members, w.member)
 }
+
+// confirmTime is how long what a member confirmed is counted.
+const confirmTime = 5 * time.Second
+
+// below returns what this daemon and those below it in the tree have in force.
+// Who has not been heard for a while is not counted.
+func (n *Node) below(now model.Instant) peer.Covered {
+	sum := peer.NewCovered(1, n.line.Revision())
+	list, place := n.order(now)
+	for _, i := range children(place, len(list)) {
+		sum = n.confirmed(now, list[i].Name(), sum)
+	}
+	return sum
+}
+
+func (n *Node) confirmed(now model.Instant, name model.Instance, sum peer.Covered) peer.Covered {
+	c, ok := n.contacts[name]
+	if !ok || c.covered.Daemons() == 0 || now.Sub(c.told) > confirmTime {
+		return sum
+	}
+	return sum.And(c.covered)
+}
+
+// Covered returns the daemons of the failure domain that have confirmed to this
+// one: all that answer, at a watcher.
+func (n *Node) Covered(now model.Instant) peer.Covered {
+	sum := n.below(now)
+	list, place := n.order(now)
+	for i := range min(Watchers, len(list)) {
+		if place < Watchers && i != place {
+			sum = n.confirmed(now, list[i].Name(), sum)
+		}
+	}
+	return sum
+}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -11,6 +11,7 @@
 	"anvilstand/core/change"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 )
 
 // Times and sizes of the spread.
@@ -86,6 +87,8 @@
 	heard     model.Instant
 	suspected model.Instant
 	suspect   bool
+	covered   peer.Covered
+	told      model.Instant
 }
 
 // identity tells two processes of one name apart.
@@ -107,15 +110,15 @@
 
 // Heard is what was last heard of another failure domain.
 type Heard struct {
-	when     model.Instant
-	revision model.Revision
+	when    model.Instant
+	covered peer.Covered
 }
 
 // When returns the time of the last message.
 func (h Heard) When() model.Instant { return h.when }
 
-// Revision returns the revision that was in force at its sender.
-func (h Heard) Revision() model.Revision { return h.revision }
+// Covered returns the daemons that had confirmed to its sender.
+func (h Heard) Covered() peer.Covered { return h.covered }
 
 // assembly collects the parts of one base.
 type assembly struct {
--- a/io/codec/fleet.go
+++ b/io/codec/fleet.go
@@ -22,7 +22,7 @@
 )
 
 func encodeBeat(b peer.Beat) ([]byte, error) {
-	return sealKind(kindBeat, b.Revision(), b.Digest(), b.Outside().Milliseconds(), b.IsAnswer())
+	return sealKind(kindBeat, b.Revision(), b.Digest(), b.Outside().Milliseconds(), b.IsAnswer(), b.Covered().Daemons(), b.Covered().Lowest())
 }
 
 func decodeBeat(body []byte) (peer.Message, error) {
@@ -31,11 +31,13 @@
 		digest  uint64
 		outside int64
 		answer  bool
+		daemons int
+		lowest  model.Revision
 	)
-	if err := unpack(body, &rev, &digest, &outside, &answer); err != nil {
+	if err := unpack(body, &rev, &digest, &outside, &answer, &daemons, &lowest); err != nil {
 		return nil, err
 	}
-	b := peer.NewBeat(rev, digest, time.Duration(max(0, outside))*time.Millisecond)
+	b := peer.NewBeat(rev, digest, time.Duration(max(0, outside))*time.Millisecond).WithCovered(peer.NewCovered(daemons, lowest))
 	if answer {
 		b = b.AsAnswer()
 	}
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -10,6 +10,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 	"anvilstand/core/share"
 	"anvilstand/core/spread"
 	"anvilstand/io/clock"
@@ -27,6 +28,7 @@
 	heard    map[model.Domain]spread.Heard
 	rolls    map[model.Domain]uint64
 	outside  model.Instant
+	covered  peer.Covered
 	rank     int
 	watching bool
 	record   fleet.Roll
@@ -52,6 +54,7 @@
 			v.heard[d] = h
 		}
 	}
+	v.covered = n.Covered(now)
 	v.rank, v.watching = n.Rank(now)
 	v.record, v.stale = n.Record(now)
 	return v
@@ -106,13 +109,17 @@
 // another domain.
 func (v *View) Outside() time.Duration { return v.clock.Now().Sub(v.outside) }
 
-// Heard returns how long ago another failure domain was heard here, and the
-// revision it then had.
-func (v *View) Heard(d model.Domain) (time.Duration, model.Revision, bool) {
+// Heard returns how long ago another failure domain was heard here, and how many
+// of its daemons had then confirmed which revision.
+func (v *View) Heard(d model.Domain) (time.Duration, peer.Covered, bool) {
 	h, ok := v.heard[d]
-	return v.clock.Now().Sub(h.When()), h.Revision(), ok
+	return v.clock.Now().Sub(h.When()), h.Covered(), ok
 }
 
+// Covered returns the daemons of the own failure domain that have confirmed to
+// this one.
+func (v *View) Covered() peer.Covered { return v.covered }
+
 // Base returns the configuration as a base.
 func (v *View) Base() change.Base {
 	tail := v.entries[max(0, len(v.entries)-change.MaxTail):]
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -7,6 +7,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 	"anvilstand/core/query"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/meter"
@@ -31,7 +32,16 @@
 func (s source) Domains() []model.Domain { return s.view.Domains() }
 
 // Heard returns what was last heard of another failure domain.
-func (s source) Heard(d model.Domain) (time.Duration, model.Revision, bool) { return s.view.Heard(d) }
+func (s source) Heard(d model.Domain) (time.Duration, peer.Covered, bool) { return s.view.Heard(d) }
+
+// Covered returns the daemons of the own failure domain that have confirmed.
+func (s source) Covered() peer.Covered { return s.view.Covered() }
+
+// Watching reports whether this daemon is a watcher.
+func (s source) Watching() bool {
+	_, ok := s.view.Watching()
+	return ok
+}
 
 // Members returns the daemons known.
 func (s source) Members() []fleet.Member { return s.view.Members() }
