State of the fleet among the counters; messages a daemon measured

Cause: refused values were counted but not shown, and the slopes of messages were not known. Change: gauges and a counter of faults at /metrics; the restart test logs messages and bytes of a daemon.

--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -30,7 +30,9 @@
 
 // New returns the operators' side of a daemon.
 func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter) *Oper {
-	return &Oper{prefs: p, loop: l, store: s, meter: m}
+	o := &Oper{prefs: p, loop: l, store: s, meter: m}
+	o.show()
+	return o
 }
 
 // Handler serves the operators.
--- /dev/null
+++ b/io/oper/state.go
@@ -0,0 +1,21 @@
+package oper
+
+// show adds what the control state knows to the counters.
+func (o *Oper) show() {
+	o.meter.Follow("faults_total", "Changes and records refused because they do not read or apply.",
+		func() float64 { return float64(o.loop.View().Faults()) })
+	o.meter.State("revision", "Revision of the configuration in force here.",
+		func() float64 { return float64(o.loop.View().Config().Revision()) })
+	o.meter.State("members", "Daemons known.",
+		func() float64 { return float64(len(o.loop.View().Members())) })
+	o.meter.State("doubled", "Names that more than one process claims.",
+		func() float64 { return float64(len(o.loop.View().Doubled())) })
+	o.meter.State("outside_seconds", "Time since the failure domain heard from the store or another domain.",
+		func() float64 { return o.loop.View().Outside().Seconds() })
+	o.meter.State("watcher", "Whether the daemon follows the store for its failure domain.", func() float64 {
+		if _, ok := o.loop.View().Watching(); ok {
+			return 1
+		}
+		return 0
+	})
+}
--- a/io/watch/cluster_test.go
+++ b/io/watch/cluster_test.go
@@ -35,8 +35,6 @@
 	store stand.Stand
 	nodes map[string]*node
 	fault fault
-	sent  uint64
-	bytes uint64
 }
 
 // fault is how the network and the store misbehave.
@@ -48,12 +46,31 @@
 	stuck         bool
 }
 
+// traffic counts the messages that a node sent and took, and their bytes.
+type traffic struct{ messages, bytes uint64 }
+
+func (c *cluster) traffic() map[*node]traffic {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := map[*node]traffic{}
+	for _, n := range c.nodes {
+		all[n] = n.posts
+	}
+	return all
+}
+
+func (a *traffic) add(bytes int) {
+	a.messages++
+	a.bytes += uint64(bytes)
+}
+
 // node is one control loop and its side of the store and of the network.
 type node struct {
 	cluster *cluster
 	member  fleet.Member
 	loop    *ctrl.Loop
 	paused  chan struct{}
+	posts   traffic
 	stop    context.CancelFunc
 	done    *errgroup.Group
 }
@@ -144,8 +161,7 @@
 	c := n.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sent++
-	c.bytes += uint64(len(data))
+	n.posts.add(len(data))
 	to := c.nodes[address]
 	if to == nil {
 		process := n.recorded(address)
@@ -155,6 +171,7 @@
 	if c.fault.cut != nil && c.fault.cut(n, to) || c.rnd.Float64() < c.fault.lost {
 		return true
 	}
+	to.posts.add(len(data))
 	n.carry(to, data)
 	if c.rnd.Float64() < c.fault.doubled {
 		n.carry(to, data)
--- a/io/watch/member_test.go
+++ b/io/watch/member_test.go
@@ -162,8 +162,10 @@
 				settled(t, c, n)
 				r0, w0 := c.store.Calls()
 				const steady = 30 * time.Second
+				before := c.traffic()
 				time.Sleep(steady)
 				r1, w1 := c.store.Calls()
+				logTraffic(t, before, c.traffic(), steady)
 				t.Logf("%d daemons, steady: %.2f reads/s, %.2f writes/s", n, float64(r1-r0)/steady.Seconds(), float64(w1-w0)/steady.Seconds())
 				restarted := c.all()[:n*3/4]
 				for _, old := range restarted {
@@ -185,6 +187,23 @@
 	}
 }
 
+// logTraffic logs what a daemon sends and takes in a second, on average and the
+// busiest one.
+func logTraffic(t *testing.T, before, after map[*node]traffic, lasts time.Duration) {
+	t.Helper()
+	var sum, most traffic
+	for n, a := range after {
+		messages, bytes := a.messages-before[n].messages, a.bytes-before[n].bytes
+		sum.messages += messages
+		sum.bytes += bytes
+		most = traffic{max(most.messages, messages), max(most.bytes, bytes)}
+	}
+	each := lasts.Seconds() * float64(len(after))
+	t.Logf("a daemon sends and takes %.1f messages/s of %.0f bytes/s, the busiest %.1f and %.0f",
+		float64(sum.messages)/each, float64(sum.bytes)/each,
+		float64(most.messages)/lasts.Seconds(), float64(most.bytes)/lasts.Seconds())
+}
+
 func allKnow(c *cluster, n int) bool {
 	for _, one := range c.all() {
 		members := one.loop.View().Members()
