--- a/core/share/purse.go
+++ b/core/share/purse.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,17 +19,22 @@
 	// ahead is how long before its deadline a lump counts no more as held, so
 	// that another is asked for in time and the rest can go back.
 	ahead = 400 * time.Millisecond
+	// least is the fewest tokens that a warm purse keeps ready.
+	least = 2
 	// cover is the demand that a purse keeps tokens for.
 	cover = 75 * time.Millisecond
 	// quick and slow are the time constants of the demand estimates.
 	quick = time.Second
 	slow  = 10 * time.Second
+	// infancy is the least age that an estimate is corrected for.
+	infancy = 250 * time.Millisecond
 )
 
 // Purse holds the tokens of a daemon, by organisation. The zero value is
 // empty. It is not safe for concurrent use.
 type Purse struct {
 	pouches map[model.Org]*pouch
+	orgs    []model.Org   // of the pouches, in order
 	until   model.Instant // deadline of the last token spent
 }
 
@@ -41,9 +45,11 @@
 	quick    float64 // requests a second
 	slow     float64 // requests a second
 	counted  model.Instant
+	begun    model.Instant // when the estimates began
 	asked    model.Instant // when a request last came
 	warm     bool
 	asking   bool          // more is asked for already
+	trip     time.Duration // mean time that a lump takes to come
 	dry      model.Instant // until then the holders are known to be empty
 }
 
@@ -58,19 +64,27 @@
 // Spend takes one token. It fails with NoShare when the daemon holds nothing
 // for the organisation yet, and with OverRate when it has run out.
 func (p *Purse) Spend(now model.Instant, org model.Org) error {
-	if p.pouches == nil {
-		p.pouches = map[model.Org]*pouch{}
-	}
-	o := p.pouches[org]
-	if o == nil {
-		o = &pouch{counted: now}
-		p.pouches[org] = o
-	}
+	o := p.pouch(now, org)
 	o.arrivals++
 	o.asked = now
 	return p.take(now, o)
 }
 
+// pouch returns an organisation's pouch and makes it when there is none.
+func (p *Purse) pouch(now model.Instant, org model.Org) *pouch {
+	if o := p.pouches[org]; o != nil {
+		return o
+	}
+	if p.pouches == nil {
+		p.pouches = map[model.Org]*pouch{}
+	}
+	o := &pouch{counted: now, begun: now, asked: now}
+	p.pouches[org] = o
+	i, _ := slices.BinarySearch(p.orgs, org)
+	p.orgs = slices.Insert(p.orgs, i, org)
+	return o
+}
+
 // Again takes one token for a request that Spend failed for before.
 func (p *Purse) Again(now model.Instant, org model.Org) error {
 	if o := p.pouches[org]; o != nil {
@@ -96,15 +110,11 @@
 
 // Put adds a lump.
 func (p *Purse) Put(now model.Instant, org model.Org, l Lump) {
-	o := p.pouches[org]
-	if o == nil {
-		o = &pouch{counted: now, asked: now}
-		if p.pouches == nil {
-			p.pouches = map[model.Org]*pouch{}
-		}
-		p.pouches[org] = o
-	}
+	o := p.pouch(now, org)
 	o.warm, o.asking, o.dry = true, false, 0
+	if trip := now.Sub(l.deadline) + Life; trip > 0 {
+		o.trip += (trip - o.trip) / 8
+	}
 	o.lumps = append(o.lumps, held{lump: l})
 	slices.SortStableFunc(o.lumps, func(a, b held) int { return int(a.lump.deadline - b.lump.deadline) })
 }
@@ -144,7 +154,7 @@
 // Collect adds what each organisation needs, and marks it as reported.
 // Everything is reported when all is set, otherwise only what closes.
 func (p *Purse) Collect(now model.Instant, all bool, out *Needs) {
-	for _, org := range slices.Sorted(maps.Keys(p.pouches)) {
+	for _, org := range p.orgs {
 		o := p.pouches[org]
 		o.estimate(now)
 		n := Need{org: org, want: o.want(now), uses: o.report(now, all || o.want(now) > 0)}
@@ -159,11 +169,14 @@
 			delete(p.pouches, org)
 		}
 	}
+	if len(p.pouches) < len(p.orgs) {
+		p.orgs = slices.DeleteFunc(p.orgs, func(org model.Org) bool { return p.pouches[org] == nil })
+	}
 }
 
 // Return closes every lump, for a planned stop.
 func (p *Purse) Return(out *Needs) {
-	for _, org := range slices.Sorted(maps.Keys(p.pouches)) {
+	for _, org := range p.orgs {
 		o, n := p.pouches[org], Need{org: org}
 		for _, h := range o.lumps {
 			n.uses = append(n.uses, holderUse{holder: h.lump.holder, use: NewUse(h.lump.id, h.spent, true)})
@@ -190,8 +203,15 @@
 	if now.Sub(o.asked) > idle && o.slow < warmRate {
 		return 0
 	}
-	n := max(o.quick, o.slow) * cover.Seconds()
-	return 1 + int(math.Ceil(n+2*math.Sqrt(n)))
+	n := o.demand(now) * max(cover, 3*o.trip).Seconds()
+	return max(least, 1+int(math.Ceil(n+2*math.Sqrt(n))))
+}
+
+// demand returns the requests a second of late. A young estimate is corrected
+// for starting from zero.
+func (o *pouch) demand(now model.Instant) float64 {
+	age := max(infancy, now.Sub(o.begun))
+	return o.quick / (1 - math.Exp(-age.Seconds()/quick.Seconds()))
 }
 
 func (o *pouch) want(now model.Instant) int {
@@ -221,7 +241,11 @@
 	spare := o.held(now) - o.target(now)
 	for _, h := range o.lumps {
 		near := !now.Add(ahead / 2).Before(h.lump.deadline)
-		closes := h.left() == 0 || near || (spare >= h.left() && o.target(now) == 0)
+		over := h.left() > 0 && spare >= h.left()
+		closes := near || over || (h.left() == 0 && all)
+		if over {
+			spare -= h.left()
+		}
 		if closes || (all && h.spent > h.reported) {
 			uses = append(uses, holderUse{holder: h.lump.holder, use: NewUse(h.lump.id, h.spent, closes)})
 			h.reported = h.spent
