Requests that kill targets are found and refused

Cause: a request that kills its target was tried at the next one, and again whenever its caller resent it. A request that may have run is tried once more at most. Copies sent at the same time to several targets can kill more than two.

--- a/core/model/call.go
+++ b/core/model/call.go
@@ -11,6 +11,7 @@
 	order  Order
 	left   time.Duration
 	budget int
+	mark   Print
 }
 
 // NewCall returns the call of a request of an organisation. An open route's
@@ -47,6 +48,15 @@
 	return c
 }
 
+// Mark returns the request's fingerprint, of this call alone.
+func (c Call) Mark() Print { return c.mark }
+
+// WithMark returns the call with another fingerprint.
+func (c Call) WithMark(p Print) Call {
+	c.mark = p
+	return c
+}
+
 // WithOrder returns the call with another order.
 func (c Call) WithOrder(o Order) Call {
 	c.order = o
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -31,6 +31,10 @@
 // Request identifies a request along its whole call chain.
 type Request string
 
+// Print is a fingerprint of a request: what makes it the same one when it is
+// sent again.
+type Print uint64
+
 // Rank orders requests by importance. Zero is the most important and is shed
 // last.
 type Rank uint8
--- a/core/spread/hear.go
+++ b/core/spread/hear.go
@@ -28,7 +28,7 @@
 		n.hearAnnounce(now, p, m.Member(), out)
 	case peer.Gone:
 		n.hearGone(now, m, out)
-	case peer.Share:
+	case peer.Share, peer.Accuse:
 		return false, nil
 	}
 	return true, nil
--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -20,6 +20,7 @@
 	v.Set("order", strconv.Itoa(int(c.Order())))
 	v.Set("left", strconv.FormatInt(c.Left().Microseconds(), 10))
 	v.Set("budget", strconv.Itoa(c.Budget()))
+	v.Set("mark", strconv.FormatUint(uint64(c.Mark()), 16))
 	return v.Encode()
 }
 
@@ -34,10 +35,12 @@
 	order, errOrder := strconv.ParseUint(v.Get("order"), 10, 8)
 	left, errLeft := strconv.ParseInt(v.Get("left"), 10, 64)
 	budget, errBudget := strconv.ParseUint(v.Get("budget"), 10, 16)
-	bad := errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
+	mark, errMark := strconv.ParseUint(v.Get("mark"), 16, 64)
+	bad := errMark != nil || errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
 	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
 	c := model.NewCall(model.Request(id), model.Org(org), model.Rank(rank))
+	c = c.WithMark(model.Print(mark))
 	return c.WithOrder(model.Order(order)).WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget)), nil
 }
--- a/io/codec/message.go
+++ b/io/codec/message.go
@@ -28,6 +28,8 @@
 		return encodeAnnounce(m.Member())
 	case peer.Gone:
 		return encodeGone(m)
+	case peer.Accuse:
+		return encodeAccuse(m)
 	case peer.Share:
 		return encodeShare(m.Message())
 	}
@@ -52,6 +54,8 @@
 
 func decodeBody(k kind, body []byte) (peer.Message, error) {
 	switch k {
+	case kindAccuse:
+		return decodeAccuse(body)
 	case kindBeat:
 		return decodeBeat(body)
 	case kindWant:
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -96,6 +96,10 @@
 	case Depart:
 		l.node.Depart(now, out)
 		l.resign(now, out)
+	case Died:
+		l.died(now, c.death, out)
+	case Acquitted:
+		l.acquit(c.mark)
 	case Recorded:
 		l.recorded(now, c, out)
 	case Settled:
@@ -107,7 +111,9 @@
 // hear takes a message of another daemon.
 func (l *Loop) hear(now model.Instant, p peer.Post, out *peer.Outbox) error {
 	taken, err := l.node.Hear(now, p, out)
-	if !taken {
+	if m, ok := p.Message().(peer.Accuse); ok {
+		l.accuse(now, m.Death())
+	} else if !taken {
 		l.hearShare(now, p.Message(), out)
 	}
 	return err
--- /dev/null
+++ b/io/ctrl/crash.go
@@ -0,0 +1,47 @@
+package ctrl
+
+import (
+	"anvilstand/core/crash"
+	"anvilstand/core/model"
+	"anvilstand/core/peer"
+)
+
+// Died tells that the target beside this daemon broke its connections.
+type Died struct{ death crash.Death }
+
+// Acquitted tells that a suspect request was served whole.
+type Acquitted struct{ mark model.Print }
+
+func (Died) isCommand()      {}
+func (Acquitted) isCommand() {}
+
+// NewDied returns the command that tells a death.
+func NewDied(d crash.Death) Died { return Died{death: d} }
+
+// NewAcquitted returns the command that clears a suspect.
+func NewAcquitted(p model.Print) Acquitted { return Acquitted{mark: p} }
+
+// died takes a death of the own target and tells it to the service.
+func (l *Loop) died(now model.Instant, d crash.Death, out *peer.Outbox) {
+	l.accuse(now, d)
+	self := l.node.Self()
+	for _, m := range l.routes.byService[self.Service()] {
+		if m.Name() != self.Name() {
+			out.Add(m.Name(), peer.NewAccuse(d))
+		}
+	}
+}
+
+// accuse takes a death. The book that views hold is not changed.
+func (l *Loop) accuse(now model.Instant, d crash.Death) {
+	l.crash = l.crash.Clone()
+	l.crash.Accuse(now, d)
+}
+
+func (l *Loop) acquit(p model.Print) {
+	l.crash = l.crash.Clone()
+	l.crash.Acquit(p)
+}
+
+// Verdict returns what is held of a request to the target beside this daemon.
+func (v *View) Verdict(p model.Print) crash.Verdict { return v.crash.Verdict(v.clock.Now(), p) }
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilstand/core/conf"
+	"anvilstand/core/crash"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
@@ -49,6 +50,7 @@
 	// written is the revision of the newest base known to be in the store.
 	written model.Revision
 	shares  shares
+	crash   *crash.Book
 }
 
 type envelope struct {
@@ -64,6 +66,7 @@
 		clock: clock.New(), node: spread.New(self, p, seeds),
 	}
 	l.shares = newShares(self, l.clock)
+	l.crash = &crash.Book{}
 	l.publish(l.clock.Now())
 	return l
 }
--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -8,6 +8,7 @@
 
 	"anvilstand/core/change"
 	"anvilstand/core/conf"
+	"anvilstand/core/crash"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/share"
@@ -35,6 +36,7 @@
 	written  model.Revision
 	shares   []share.State
 	titles   int
+	crash    *crash.Book
 }
 
 func (l *Loop) snapshot(now model.Instant) *View {
@@ -43,7 +45,7 @@
 		changed: make(chan struct{}), clock: l.clock, when: now, self: n.Self(), routes: l.routes,
 		entries: n.Entries(), domains: n.Roster().Domains(),
 		outside: now.Add(-n.Outside(now)), faults: n.Faults() + l.refused, written: l.written,
-		shares: l.shares.states, titles: l.shares.desk.Titles(),
+		shares: l.shares.states, titles: l.shares.desk.Titles(), crash: l.crash,
 		heard: map[model.Domain]spread.Heard{}, rolls: map[model.Domain]uint64{},
 	}
 	for _, d := range v.domains {
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -142,8 +142,9 @@
 	if err != nil {
 		return err
 	}
+	j.call = mark(j, r, p)
 	tried := map[model.Instance]bool{}
-	for {
+	for broken := 0; ; {
 		from, err := f.attempt(ctx, j, p, tried)
 		if err == nil {
 			defer from.Body.Close()
@@ -151,7 +152,10 @@
 			return nil
 		}
 		why, again := retryReason(err, j, p)
-		if !again || ctx.Err() != nil {
+		if _, unknown := refusalOf(err).Run().(model.MayHaveRun); unknown {
+			broken++
+		}
+		if !again || broken > maxBroken || ctx.Err() != nil {
 			return err
 		}
 		f.meter.Retry(j.service, why)
@@ -173,10 +177,15 @@
 	return nil, false
 }
 
+// maxBroken is the number of attempts that may have run after which a request
+// is tried once more. It bounds the targets that a killing request reaches.
+const maxBroken = 1
+
 // elsewhere reports whether another target may do what one refused for a
 // reason. Shedding holds for the service.
 func elsewhere(r model.Reason) bool {
 	_, none := r.(model.NoTarget)
 	_, shed := r.(model.Shed)
-	return !none && !shed
+	_, poison := r.(model.Poison)
+	return !none && !shed && !poison
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -23,6 +23,7 @@
 	purse   purse
 	picker  picker
 	running flights
+	ward    ward
 	peers   http.RoundTripper
 	target  http.RoundTripper
 }
@@ -39,6 +40,7 @@
 		gate:   gate{clock: c},
 		purse:  purse{tokens: l.Purse()},
 		picker: picker{clock: c, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		ward:   ward{clock: c, loop: l},
 		peers:  newTransport(peers),
 		target: newTransport(target),
 	}
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -50,18 +50,25 @@
 	}
 	outcome := admit.Outcome(admit.Failed{})
 	defer func() { f.gate.finish(id, outcome) }()
+	if err := f.ward.enter(id, call.Mark()); err != nil {
+		outcome = admit.Abandoned{}
+		return err
+	}
+	defer f.ward.leave(id)
 	began := time.Now()
 	token := f.running.begin(call)
 	defer f.running.end(token)
 	from, err := send(f.target, f.targetRequest(ctx, r, token))
 	if err != nil {
 		outcome = failureOf(ctx)
+		f.ward.failed(id, err)
 		return err
 	}
 	defer from.Body.Close()
 	from.Header.Del(headerRefusal)
 	from.Header.Set(headerLevel, f.report(token))
 	outcome = outcomeOf(from, time.Since(began), f.running.refused(token))
+	f.ward.served(call.Mark())
 	answer(w, from)
 	return nil
 }
