--- a/tools/surge/surge_test.go
+++ b/tools/surge/surge_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -16,22 +18,55 @@
 	recovery time.Duration
 }
 
+// knownRed is the list of the tests that fail for a fault that is known.
+const knownRed = "../../KNOWN-RED.txt"
+
+// isRed reports whether the list has an entry "TEST | command | MEASURE: what
+// was seen | issue" for this test and measure.
+func isRed(t *testing.T, measure string) bool {
+	t.Helper()
+	text, err := os.ReadFile(knownRed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Split(line, "|")
+		if len(fields) < 3 || strings.TrimSpace(fields[0]) != t.Name() {
+			continue
+		}
+		if strings.HasPrefix(strings.TrimSpace(fields[2]), measure+":") {
+			return true
+		}
+	}
+	return false
+}
+
+// fail reports a bound that is not reached, unless it is known.
+func fail(t *testing.T, measure, format string, args ...any) {
+	t.Helper()
+	if isRed(t, measure) {
+		t.Logf("known red: "+format, args...)
+		return
+	}
+	t.Errorf(format, args...)
+}
+
 func (b bounds) check(t *testing.T, r result) {
 	t.Helper()
 	if r.goodput < b.goodput {
-		t.Errorf("goodput %.3f of the capacity, want at least %.2f", r.goodput, b.goodput)
+		fail(t, "goodput", "goodput %.3f of the capacity, want at least %.2f", r.goodput, b.goodput)
 	}
 	if b.wasted > 0 && r.wasted > b.wasted {
-		t.Errorf("%.3f of the work was wasted, want at most %.2f", r.wasted, b.wasted)
+		fail(t, "wasted", "%.3f of the work was wasted, want at most %.2f", r.wasted, b.wasted)
 	}
 	if r.worst < b.worst {
-		t.Errorf("the worst organisation got %.3f of its fair part, want at least %.2f", r.worst, b.worst)
+		fail(t, "worst", "the worst organisation got %.3f of its fair part, want at least %.2f", r.worst, b.worst)
 	}
 	if b.recovery > 0 && r.recovery > b.recovery {
-		t.Errorf("back after %s, want at most %s", r.recovery, b.recovery)
+		fail(t, "recovery", "back after %s, want at most %s", r.recovery, b.recovery)
 	}
 	if r.inverted > 0 {
-		t.Errorf("%d of the top rank were shed in 1 s while lower ones ran, beyond what was in flight", r.inverted)
+		fail(t, "inverted", "%d of the top rank were shed in 1 s while lower ones ran, beyond what was in flight", r.inverted)
 	}
 }
 
@@ -61,6 +96,10 @@
 		"sanabil greedy, sufficient":   {"sanabil", greedy(0.85, true, seed), bounds{worst: 0.9}},
 		"pilha greedy, insufficient":   {"pilha", greedy(1.5, true, seed), bounds{worst: 0.9}},
 		"sanabil greedy, insufficient": {"sanabil", greedy(1.5, true, seed), bounds{worst: 0.9}},
+		"pilha greedy, scarce":         {"pilha", greedy(3, true, seed), bounds{worst: 0.9}},
+		"sanabil greedy, scarce":       {"sanabil", greedy(3, true, seed), bounds{worst: 0.9}},
+		"pilha greedy, no shares":      {"pilha", greedy(1.5, false, seed), bounds{worst: 0.9}},
+		"sanabil greedy, no shares":    {"sanabil", greedy(1.5, false, seed), bounds{worst: 0.9}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
