--- a/io/ctrl/view.go
+++ b/io/ctrl/view.go
@@ -8,8 +8,10 @@
 
 	"anvilstand/core/change"
 	"anvilstand/core/conf"
+	"anvilstand/core/crash"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 	"anvilstand/core/share"
 	"anvilstand/core/spread"
 	"anvilstand/io/clock"
@@ -27,6 +29,7 @@
 	heard    map[model.Domain]spread.Heard
 	rolls    map[model.Domain]uint64
 	outside  model.Instant
+	covered  peer.Covered
 	rank     int
 	watching bool
 	record   fleet.Roll
@@ -35,6 +38,7 @@
 	written  model.Revision
 	shares   []share.State
 	titles   int
+	crash    *crash.Book
 }
 
 func (l *Loop) snapshot(now model.Instant) *View {
@@ -43,7 +47,7 @@
 		changed: make(chan struct{}), clock: l.clock, when: now, self: n.Self(), routes: l.routes,
 		entries: n.Entries(), domains: n.Roster().Domains(),
 		outside: now.Add(-n.Outside(now)), faults: n.Faults() + l.refused, written: l.written,
-		shares: l.shares.states, titles: l.shares.desk.Titles(),
+		shares: l.shares.states, titles: l.shares.desk.Titles(), crash: l.crash,
 		heard: map[model.Domain]spread.Heard{}, rolls: map[model.Domain]uint64{},
 	}
 	for _, d := range v.domains {
@@ -52,6 +56,7 @@
 			v.heard[d] = h
 		}
 	}
+	v.covered = n.Covered(now)
 	v.rank, v.watching = n.Rank(now)
 	v.record, v.stale = n.Record(now)
 	return v
@@ -106,13 +111,17 @@
 // another domain.
 func (v *View) Outside() time.Duration { return v.clock.Now().Sub(v.outside) }
 
-// Heard returns how long ago another failure domain was heard here, and the
-// revision it then had.
-func (v *View) Heard(d model.Domain) (time.Duration, model.Revision, bool) {
+// Heard returns how long ago another failure domain was heard here, and how many
+// of its daemons had then confirmed which revision.
+func (v *View) Heard(d model.Domain) (time.Duration, peer.Covered, bool) {
 	h, ok := v.heard[d]
-	return v.clock.Now().Sub(h.When()), h.Revision(), ok
+	return v.clock.Now().Sub(h.When()), h.Covered(), ok
 }
 
+// Covered returns the daemons of the own failure domain that have confirmed to
+// this one.
+func (v *View) Covered() peer.Covered { return v.covered }
+
 // Base returns the configuration as a base.
 func (v *View) Base() change.Base {
 	tail := v.entries[max(0, len(v.entries)-change.MaxTail):]
