--- a/core/query/answer.go
+++ b/core/query/answer.go
@@ -6,6 +6,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/share"
 )
 
 // Table is an answer: named columns and rows of as many cells.
@@ -35,6 +36,8 @@
 	// Served returns the requests of an organisation served and refused here,
 	// by reason.
 	Served(org model.Org) Count
+	// Shares returns the state of every organisation's share here.
+	Shares() []share.State
 	// Trace returns what this daemon decided about a request, a line a step.
 	Trace(id model.Request) []string
 }
@@ -63,6 +66,8 @@
 		return answerTargets(s)
 	case Served:
 		return answerServed(s)
+	case Shares:
+		return answerShares(s)
 	case Explain:
 		return answerExplain(s, q)
 	}
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -24,6 +24,9 @@
 	Targets struct{}
 	// Served asks who is served, by organisation.
 	Served struct{}
+	// Shares asks who holds the titles of each organisation, and what is left of
+	// the share held here.
+	Shares struct{}
 	// Explain asks what happened to one request.
 	Explain struct{ id model.Request }
 )
@@ -33,6 +36,7 @@
 func (Services) isQuery() {}
 func (Targets) isQuery()  {}
 func (Served) isQuery()   {}
+func (Shares) isQuery()   {}
 func (Explain) isQuery()  {}
 
 // ID returns the request asked about.
@@ -56,7 +60,7 @@
 }
 
 func parseOne(r *lang.Reader) (Query, error) {
-	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "explain")
+	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "shares", "explain")
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +75,8 @@
 		return Targets{}, nil
 	case "served":
 		return Served{}, nil
+	case "shares":
+		return Shares{}, nil
 	}
 	id, err := r.Name("the id of a request")
 	return Explain{id: model.Request(id)}, err
--- a/core/share/query.go
+++ b/core/share/query.go
@@ -51,6 +51,7 @@
 // State is what a desk tells of an organisation's share.
 type State struct {
 	org      model.Org
+	domain   model.Domain
 	weight   int
 	recorded int
 	rate     float64
@@ -64,6 +65,9 @@
 // Org returns the organisation.
 func (s State) Org() model.Org { return s.org }
 
+// Domain returns the failure domain of this daemon.
+func (s State) Domain() model.Domain { return s.domain }
+
 // Held reports whether this daemon holds a title.
 func (s State) Held() bool { return s.recorded > 0 }
 
@@ -95,7 +99,7 @@
 
 // State returns what is known of an organisation's share at a time.
 func (d *Desk) State(now model.Instant, org model.Org) State {
-	s := State{org: org}
+	s := State{org: org, domain: d.domain}
 	a := d.accounts[org]
 	if a == nil {
 		return s
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -5,6 +5,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/query"
+	"anvilstand/core/share"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/meter"
 )
@@ -24,5 +25,8 @@
 // Served returns what was served and refused here.
 func (s source) Served(org model.Org) query.Count { return s.meter.Count(org) }
 
+// Shares returns the state of the shares here.
+func (s source) Shares() []share.State { return s.view.Shares() }
+
 // Trace returns nothing yet: requests are not recorded.
 func (s source) Trace(model.Request) []string { return nil }
