Shares: a record without titles ends the round

Cause: a mutant of the random schedules overflowed the stack: the only daemon of a domain, with a record that names no title, asked itself without end. Change: the round ends when the answer names no title. A test asks so.

--- a/core/share/desk_test.go
+++ b/core/share/desk_test.go
@@ -119,3 +119,19 @@
 		})
 	}
 }
+
+// TestNoTitles asks for tokens while the record names no title, at the only
+// daemon of the domain, which would have to ask itself.
+func TestNoTitles(t *testing.T) {
+	d, swap, now := lone(t)
+	var out Outbox
+	d.Stored(now, "acme", swap.Op(), Stale{}, &out)
+	d.Loaded(now, "acme", swap.Op()+1, 4, Record{}, &out)
+	out = Outbox{}
+	d.Want(now, Need{org: "acme", want: 3}, &out)
+	for _, a := range out.Actions() {
+		if c, ok := a.(Credit); ok {
+			t.Errorf("%v came from nowhere", c)
+		}
+	}
+}
--- a/core/share/take.go
+++ b/core/share/take.go
@@ -226,7 +226,7 @@
 	if q.late || q.poll {
 		return
 	}
-	if q.domain == "" && k.version > 0 {
+	if q.domain == "" && len(a.record.titles) > 0 {
 		a.round.tried = nil
 	}
 	d.proceed(now, a, out)
