--- a/core/query/answer.go
+++ b/core/query/answer.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"time"
 
+	"anvilstand/core/change"
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 	"anvilstand/core/share"
 )
 
@@ -31,6 +34,20 @@
 type Source interface {
 	// Config returns the configuration in force at this daemon.
 	Config() *conf.Config
+	// Self returns the daemon that answers.
+	Self() fleet.Member
+	// Entries returns the newest changes, the oldest first.
+	Entries() []change.Entry
+	// Domains returns the failure domains known.
+	Domains() []model.Domain
+	// Heard returns how long ago another failure domain was heard here, and
+	// how many of its daemons had then confirmed which revision.
+	Heard(model.Domain) (time.Duration, peer.Covered, bool)
+	// Covered returns the daemons of the own failure domain that have
+	// confirmed to this one: all that answer, if it is a watcher.
+	Covered() peer.Covered
+	// Watching reports whether this daemon is a watcher.
+	Watching() bool
 	// Members returns the daemons known.
 	Members() []fleet.Member
 	// Served returns the requests of an organisation served and refused here,
@@ -68,6 +85,10 @@
 		return answerServed(s)
 	case Shares:
 		return answerShares(s)
+	case Force:
+		return answerForce(s)
+	case History:
+		return answerHistory(s)
 	case Explain:
 		return answerExplain(s, q)
 	}
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -27,6 +27,11 @@
 	// Shares asks who holds the titles of each organisation, and what is left of
 	// the share held here.
 	Shares struct{}
+	// Force asks which revision is in force in each failure domain, as far as
+	// it is known here.
+	Force struct{}
+	// History asks for the newest changes with their operators.
+	History struct{}
 	// Explain asks what happened to one request.
 	Explain struct{ id model.Request }
 )
@@ -37,6 +42,8 @@
 func (Targets) isQuery()  {}
 func (Served) isQuery()   {}
 func (Shares) isQuery()   {}
+func (Force) isQuery()    {}
+func (History) isQuery()  {}
 func (Explain) isQuery()  {}
 
 // ID returns the request asked about.
@@ -60,7 +67,7 @@
 }
 
 func parseOne(r *lang.Reader) (Query, error) {
-	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "shares", "explain")
+	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "shares", "force", "history", "explain")
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +84,10 @@
 		return Served{}, nil
 	case "shares":
 		return Shares{}, nil
+	case "force":
+		return Force{}, nil
+	case "history":
+		return History{}, nil
 	}
 	id, err := r.Name("the id of a request")
 	return Explain{id: model.Request(id)}, err
--- a/core/share/fault_test.go
+++ b/core/share/fault_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -225,6 +226,15 @@
 	})
 }
 
+// The random schedules are the same at every run, unless a flag says otherwise.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // mishaps are the faults that TestChaos draws from, each at a time and for a
 // while.
 var mishaps = map[string]func(s *sim, n *node, lasts time.Duration){
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -11,6 +11,7 @@
 	"anvilstand/core/change"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 )
 
 // Times and sizes of the spread.
@@ -25,6 +26,9 @@
 	Silence = 2 * time.Second
 	// Suspicion is how long a silent member is passed over.
 	Suspicion = 10 * time.Second
+	// Doubt is how long a member may be silent before it is asked whether it
+	// still lives.
+	Doubt = 4 * time.Second
 	// Absence is how long a member may be silent before the watchers are asked
 	// to take it out of the record.
 	Absence = 10 * time.Second
@@ -62,10 +66,20 @@
 	known    bool
 	heard    map[model.Domain]Heard
 	parts    assembly
+	row      row
 	ticks    int
 	faults   uint64
 }
 
+// row is the rendezvous order of a failure domain as last worked out. It holds
+// until the next tick, a change of the roster, or a sign of life of a suspect.
+type row struct {
+	members []fleet.Member
+	place   int
+	roster  uint64
+	valid   bool
+}
+
 // contact is what a node knows of another's answers.
 type contact struct {
 	asked     model.Instant
@@ -73,6 +87,8 @@
 	heard     model.Instant
 	suspected model.Instant
 	suspect   bool
+	covered   peer.Covered
+	told      model.Instant
 }
 
 // identity tells two processes of one name apart.
@@ -89,21 +105,20 @@
 type wish struct {
 	member fleet.Member
 	drop   bool
-	proven bool
 	since  model.Instant
 }
 
 // Heard is what was last heard of another failure domain.
 type Heard struct {
-	when     model.Instant
-	revision model.Revision
+	when    model.Instant
+	covered peer.Covered
 }
 
 // When returns the time of the last message.
 func (h Heard) When() model.Instant { return h.when }
 
-// Revision returns the revision that was in force at its sender.
-func (h Heard) Revision() model.Revision { return h.revision }
+// Covered returns the daemons that had confirmed to its sender.
+func (h Heard) Covered() peer.Covered { return h.covered }
 
 // assembly collects the parts of one base.
 type assembly struct {
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -1,9 +1,13 @@
 package oper
 
 import (
+	"time"
+
+	"anvilstand/core/change"
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/peer"
 	"anvilstand/core/query"
 	"anvilstand/core/share"
 	"anvilstand/io/ctrl"
@@ -19,6 +23,27 @@
 // Config returns the configuration in force here.
 func (s source) Config() *conf.Config { return s.view.Config() }
 
+// Self returns this daemon.
+func (s source) Self() fleet.Member { return s.view.Self() }
+
+// Entries returns the newest changes.
+func (s source) Entries() []change.Entry { return s.view.Entries() }
+
+// Domains returns the failure domains known.
+func (s source) Domains() []model.Domain { return s.view.Domains() }
+
+// Heard returns what was last heard of another failure domain.
+func (s source) Heard(d model.Domain) (time.Duration, peer.Covered, bool) { return s.view.Heard(d) }
+
+// Covered returns the daemons of the own failure domain that have confirmed.
+func (s source) Covered() peer.Covered { return s.view.Covered() }
+
+// Watching reports whether this daemon is a watcher.
+func (s source) Watching() bool {
+	_, ok := s.view.Watching()
+	return ok
+}
+
 // Members returns the daemons known.
 func (s source) Members() []fleet.Member { return s.view.Members() }
 
