--- a/core/query/answer.go
+++ b/core/query/answer.go
@@ -9,6 +9,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/core/share"
 )
 
 // Table is an answer: named columns and rows of as many cells.
@@ -52,6 +53,8 @@
 	// Served returns the requests of an organisation served and refused here,
 	// by reason.
 	Served(org model.Org) Count
+	// Shares returns the state of every organisation's share here.
+	Shares() []share.State
 	// Trace returns what this daemon decided about a request, a line a step.
 	Trace(id model.Request) []string
 }
@@ -80,6 +83,8 @@
 		return answerTargets(s)
 	case Served:
 		return answerServed(s)
+	case Shares:
+		return answerShares(s)
 	case Force:
 		return answerForce(s)
 	case History:
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -24,6 +24,9 @@
 	Targets struct{}
 	// Served asks who is served, by organisation.
 	Served struct{}
+	// Shares asks who holds the titles of each organisation, and what is left of
+	// the share held here.
+	Shares struct{}
 	// Force asks which revision is in force in each failure domain, as far as
 	// it is known here.
 	Force struct{}
@@ -38,6 +41,7 @@
 func (Services) isQuery() {}
 func (Targets) isQuery()  {}
 func (Served) isQuery()   {}
+func (Shares) isQuery()   {}
 func (Force) isQuery()    {}
 func (History) isQuery()  {}
 func (Explain) isQuery()  {}
@@ -63,7 +67,7 @@
 }
 
 func parseOne(r *lang.Reader) (Query, error) {
-	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "force", "history", "explain")
+	word, err := r.Choice("revision", "orgs", "services", "targets", "served", "shares", "force", "history", "explain")
 	if err != nil {
 		return nil, err
 	}
@@ -78,6 +82,8 @@
 		return Targets{}, nil
 	case "served":
 		return Served{}, nil
+	case "shares":
+		return Shares{}, nil
 	case "force":
 		return Force{}, nil
 	case "history":
