The trial counts an organisation's rate, not its very requests

Split by second and organisation, all of it lies in the 1.5 s of the surge, at organisations that send four times their rate: large1 was served 269 where one bucket would have admitted 296, but only 192 of them were the same requests. Outside the surge none is refused. Change: a request refused counts as whole where another of the same organisation was served in its place in the same second. An organisation inside its rate has no others, so for it nothing changes.

--- a/io/trial/report.go
+++ b/io/trial/report.go
@@ -40,7 +40,10 @@
 }
 
 // inRate returns the requests that one bucket for the whole fleet would have
-// admitted, with how they ended. A request that was sent again counts once.
+// admitted, with how they ended. A request that was sent again counts once. An
+// organisation past its rate is to get its rate, not the very requests that the
+// one bucket would have chosen: one refused counts as whole where another of
+// the same organisation was served in its place in the same second.
 func (r *Report) inRate() []asked {
 	sent := slices.Clone(r.history.Sent())
 	slices.SortFunc(sent, func(a, b audit.Sent) int { return int(a.From() - b.From()) })
@@ -51,7 +54,7 @@
 		}
 	}
 	var list []asked
-	seen := map[string]bool{}
+	seen, others := map[string]bool{}, map[span]int{}
 	buckets := r.ideal()
 	for _, s := range sent {
 		if seen[s.ID()] || s.Key() == second(r.profile) {
@@ -61,11 +64,27 @@
 		if buckets[s.Org()].take(s.From()) {
 			_, refused := s.End().(audit.Refused)
 			list = append(list, asked{org: s.Org(), at: s.From(), whole: whole[s.ID()], refused: refused && !whole[s.ID()]})
+		} else if whole[s.ID()] {
+			others[turn(s.Org(), s.From())]++
+		}
+	}
+	for i, a := range list {
+		if k := turn(a.org, a.at); a.refused && others[k] > 0 {
+			others[k]--
+			list[i].whole, list[i].refused = true, false
 		}
 	}
 	return list
 }
 
+// span is one second of one organisation.
+type span struct {
+	org    model.Org
+	second int
+}
+
+func turn(org model.Org, at time.Duration) span { return span{org: org, second: int(at / time.Second)} }
+
 // bucket is one token bucket for the whole fleet.
 type bucket struct {
 	rate, burst, tokens float64
