--- a/core/model/call.go
+++ b/core/model/call.go
@@ -10,6 +10,9 @@
 	rank   Rank
 	left   time.Duration
 	budget int
+	tag    string
+	rev    Revision
+	once   string
 }
 
 // NewCall returns the call of a request of an organisation. An open route's
@@ -44,3 +47,26 @@
 	c.budget = n
 	return c
 }
+
+// Tag returns the tag of the key that came with the request, empty on a route
+// open to all.
+func (c Call) Tag() string { return c.tag }
+
+// Revision returns the configuration by which the key was accepted.
+func (c Call) Revision() Revision { return c.rev }
+
+// WithKey returns the call with the tag of its key, accepted at a revision.
+func (c Call) WithKey(tag string, rev Revision) Call {
+	c.tag, c.rev = tag, rev
+	return c
+}
+
+// Once returns what identifies the request and its idempotency key, empty when
+// it has none or needs none.
+func (c Call) Once() string { return c.once }
+
+// WithOnce returns the call with what identifies its idempotency key.
+func (c Call) WithOnce(id string) Call {
+	c.once = id
+	return c
+}
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -207,6 +207,16 @@
 	return &Refusal{reason: reason, run: MayHaveRun{}}
 }
 
+// WithWait returns the refusal with another wait.
+func (r *Refusal) WithWait(wait time.Duration) *Refusal {
+	return &Refusal{reason: r.reason, run: r.run, wait: wait}
+}
+
+// WithRun returns the refusal with another report of the run.
+func (r *Refusal) WithRun(run Run) *Refusal {
+	return &Refusal{reason: r.reason, run: run, wait: r.wait}
+}
+
 // Reason returns why the request was refused.
 func (r *Refusal) Reason() Reason { return r.reason }
 
--- /dev/null
+++ b/core/trace/query.go
@@ -0,0 +1,52 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"anvilstand/core/model"
+	"anvilstand/core/retry"
+)
+
+// Lines returns the steps of a request that are remembered, the oldest first,
+// each with the time since the first of them.
+func (r *Ring) Lines(id model.Request) []string {
+	var lines []string
+	var began model.Instant
+	for i := range r.entries {
+		e := r.entries[(r.next+i)%len(r.entries)]
+		if e.id != id {
+			continue
+		}
+		if lines == nil {
+			began = e.at
+		}
+		lines = append(lines, fmt.Sprintf("+%s %s", e.at.Sub(began).Round(time.Microsecond), Text(e.step)))
+	}
+	return lines
+}
+
+// Text returns a step in words.
+func Text(s Step) string {
+	switch s := s.(type) {
+	case Accepted:
+		return fmt.Sprintf("accept: org %q, service %s, rank %d", s.org, s.service, s.rank)
+	case Picked:
+		return "pick: " + string(s.target)
+	case Admitted:
+		return fmt.Sprintf("admission: waited %s", s.waited)
+	case Refused:
+		return "refusal: " + model.ReasonName(s.refusal.Reason()) + ", run " + model.RunName(s.refusal.Run())
+	case Retried:
+		return fmt.Sprintf("retry: %s, after %s", model.RetryName(s.why), s.pause)
+	case Denied:
+		return "no retry: " + retry.DeniedName(s.why)
+	case Answered:
+		return fmt.Sprintf("answer: status %d", s.status)
+	case Replayed:
+		return "answer: the first one again"
+	case Cut:
+		return "answer: broke off"
+	}
+	return ""
+}
--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -13,15 +13,28 @@
 
 // EncodeCall encodes a call as the text of a header.
 func EncodeCall(c model.Call) string {
-	v := url.Values{}
-	v.Set("id", string(c.ID()))
-	v.Set("org", string(c.Org()))
-	v.Set("rank", strconv.Itoa(int(c.Rank())))
-	v.Set("left", strconv.FormatInt(c.Left().Microseconds(), 10))
-	v.Set("budget", strconv.Itoa(c.Budget()))
-	return v.Encode()
+	b := make([]byte, 0, callBytes)
+	b = append(append(b, "id="...), c.ID()...)
+	b = append(append(b, "&org="...), url.QueryEscape(string(c.Org()))...)
+	b = strconv.AppendInt(append(b, "&rank="...), int64(c.Rank()), 10)
+	b = strconv.AppendInt(append(b, "&left="...), c.Left().Microseconds(), 10)
+	b = strconv.AppendInt(append(b, "&budget="...), int64(c.Budget()), 10)
+	if c.Tag() != "" {
+		b = append(append(b, "&tag="...), c.Tag()...)
+		b = strconv.AppendUint(append(b, "&rev="...), uint64(c.Revision()), 10)
+	}
+	if c.Once() != "" {
+		b = append(append(b, "&once="...), c.Once()...)
+	}
+	return string(b)
 }
 
+// Bounds of a call.
+const (
+	callBytes = 192
+	maxLeft   = time.Hour
+)
+
 // DecodeCall decodes the text of a header.
 func DecodeCall(text string) (model.Call, error) {
 	v, err := url.ParseQuery(text)
@@ -36,6 +49,25 @@
 	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
+	left = max(0, min(left, maxLeft.Microseconds()))
 	c := model.NewCall(model.Request(id), model.Org(org), model.Rank(rank))
-	return c.WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget)), nil
+	c = c.WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget))
+	return decodeMarks(c, v)
+}
+
+func decodeMarks(c model.Call, v url.Values) (model.Call, error) {
+	if tag := v.Get("tag"); tag != "" {
+		rev, err := strconv.ParseUint(v.Get("rev"), 10, 64)
+		if err != nil || !lang.IsName(tag) {
+			return c, errors.Wrap(ErrForm, "decode call: key")
+		}
+		c = c.WithKey(tag, model.Revision(rev))
+	}
+	if once := v.Get("once"); once != "" {
+		if !lang.IsName(once) {
+			return c, errors.Wrap(ErrForm, "decode call: once")
+		}
+		c = c.WithOnce(once)
+	}
+	return c, nil
 }
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -28,6 +28,7 @@
 	self   fleet.Member
 	config *conf.Config
 	roster fleet.Roster
+	watch  func(*View)
 	heard  map[model.Instance]model.Revision
 }
 
@@ -90,12 +91,20 @@
 // View returns the newest snapshot.
 func (l *Loop) View() *View { return l.view.Load() }
 
+// Watch has f called with each view to come, in the control goroutine. It is
+// called before Run, and f must not wait.
+func (l *Loop) Watch(f func(*View)) { l.watch = f }
+
 func (l *Loop) publish() {
 	members := l.roster.Members()
-	l.view.Store(&View{
+	v := &View{
 		self:      l.self,
 		config:    l.config,
 		members:   members,
 		byService: fleet.ByService(l.config, members),
-	})
+	}
+	l.view.Store(v)
+	if l.watch != nil {
+		l.watch(v)
+	}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -54,7 +54,7 @@
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
 	d.loop = ctrl.New(d.self)
 	d.front = front.New(p, d.peer, n, d.loop, m)
-	d.oper = oper.New(p, d.loop, s, m)
+	d.oper = oper.New(p, d.loop, s, m, d.front.Trace)
 	return d, nil
 }
 
@@ -134,17 +134,31 @@
 
 func (d *Daemon) leave(servers []*http.Server) {
 	d.log.Info("leaving")
+	d.front.Announce()
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
 	retire, done := context.WithTimeout(ctx, retireTimeout)
 	_ = watch.Retire(retire, d.store, d.self)
 	done()
-	d.front.Close()
+	settle(ctx, d.prefs.Settle())
+	cut := d.front.Close(ctx)
 	for _, s := range servers {
-		_ = s.Shutdown(ctx)
+		cut = errors.Join(cut, s.Shutdown(ctx))
+		_ = s.Close()
+	}
+	d.front.Free()
+	d.log.Info("left", "cut", cut != nil)
+}
+
+// settle waits while the other daemons learn that this one leaves.
+func settle(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	d.log.Info("left")
 }
 
 // Bounds of the listeners.
@@ -179,6 +193,7 @@
 	m.Handle("/link", link.Accept(d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
 		return d.loop.Tell(ctx, ctrl.NewHeard(p))
 	}))
+	m.Handle("/claim", d.front.Claims())
 	m.PathPrefix("/relay").Handler(d.front.Peers())
 	return m
 }
@@ -189,3 +204,6 @@
 	}
 	return nil
 }
+
+// Trace returns what this daemon decided about a request, a line a step.
+func (d *Daemon) Trace(id model.Request) []string { return d.front.Trace(id) }
--- /dev/null
+++ b/io/daemon/promise_test.go
@@ -0,0 +1,416 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+)
+
+func nothing() http.Handler { return http.NotFoundHandler() }
+
+func TestAnswersThatBreakOff(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"chunked":        {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"},
+		"chunk":          {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\nabcd"},
+		"content length": {answer: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabcd"},
+		"trailers":       {answer: "HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nSum: 1"},
+		"whole":          {answer: "HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nSum: 1\r\n\r\n", whole: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			entry := r.add("entry-north-1", nothing(), "")
+			target := raw(t, func(conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					_, _ = io.WriteString(conn, tc.answer)
+				}
+			})
+			own := r.addOver("stock-north-1", target, "", newNet())
+			r.configure(entry)
+			for name, u := range map[string]*unit{"two daemons": entry, "one daemon": own} {
+				w, text, err := u.do(t.Context(), http.MethodGet, "/stock/items", nil)
+				if diff := cmp.Diff(tc.whole, err == nil); diff != "" {
+					t.Error(name, diff, text, err)
+				}
+				if tc.whole {
+					if diff := cmp.Diff("1", w.Trailer.Get("Sum")); diff != "" {
+						t.Error(name, diff)
+					}
+				}
+				if old, err := readOld(u.FrontAddress()); (err == nil) != tc.whole {
+					t.Errorf("%s: HTTP/1.0: %q, %v", name, old, err)
+				}
+			}
+		})
+	}
+}
+
+// readOld sends a request of HTTP/1.0, whose answer ends with the connection.
+func readOld(address string) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "GET /stock/items HTTP/1.0\r\nKey: %s\r\n\r\n", orgKey)
+	text, err := io.ReadAll(conn)
+	return string(text), err
+}
+
+func TestAnswerThatBreaksBetweenDaemons(t *testing.T) {
+	r := newRig(t)
+	n := newNet("part")
+	entry := r.addOver("entry-north-1", "http://127.0.0.1:1", "", n)
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		<-q.Context().Done()
+	}), "")
+	r.configure(entry)
+	var g errgroup.Group
+	g.Go(func() error {
+		_, text, err := entry.do(t.Context(), http.MethodGet, "/stock/items", nil)
+		if err == nil {
+			t.Errorf("took %q for whole", text)
+		}
+		return nil
+	})
+	<-n.seen
+	n.cut()
+	_ = g.Wait()
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	r.add("stock-north-1", http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		close(began)
+		<-q.Context().Done()
+		close(ended)
+	}), "")
+	r.configure(entry)
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error {
+		_, _, err := entry.do(ctx, http.MethodPost, "/stock/orders", strings.NewReader("x"))
+		return err
+	})
+	<-began
+	cancel()
+	<-ended
+	if g.Wait() == nil {
+		t.Error("answered a caller that left")
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	cases := map[string]struct {
+		header string
+		more   string
+		most   int64
+		status int
+	}{
+		"of the caller":        {header: "700", most: 700, status: 200},
+		"of the settings":      {most: 5000, status: 200},
+		"longer than settings": {header: "90000", more: `, "deadline": 2`, most: 2000, status: 200},
+		"passed":               {header: "60", most: 60, status: 504},
+		"malformed":            {header: "soon", status: 400},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			entry := r.add("entry-north-1", nothing(), tc.more)
+			var left atomic.Int64
+			r.add("stock-north-1", http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+				n, _ := strconv.ParseInt(q.Header.Get("Deadline"), 10, 64)
+				left.Store(n)
+				if tc.status == http.StatusGatewayTimeout {
+					<-q.Context().Done()
+				}
+			}), "")
+			r.configure(entry)
+			w, text, err := entry.do(t.Context(), http.MethodGet, "/stock/items", nil, "Deadline", tc.header)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.status, w.StatusCode); diff != "" {
+				t.Error(diff, text)
+			}
+			if n := left.Load(); n > tc.most || (tc.most > 0 && n == 0) {
+				t.Errorf("the target was given %d ms of %d", n, tc.most)
+			}
+		})
+	}
+}
+
+// big is a body that no daemon may hold, in bytes.
+const big = 50 << 20
+
+// zeros reads n zeros.
+func zeros(n int64) io.Reader { return io.LimitReader(zero{}, n) }
+
+type zero struct{}
+
+func (zero) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+func TestLargeBodiesStream(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	var peak atomic.Uint64
+	watch := func() {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak.Store(max(peak.Load(), m.HeapInuse))
+	}
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		n, _ := io.Copy(io.Discard, q.Body)
+		watch()
+		for range big >> 20 {
+			_, _ = io.Copy(w, zeros(1<<20))
+			watch()
+		}
+		w.Header().Set(http.TrailerPrefix+"Got", strconv.FormatInt(n, 10))
+	}), "")
+	r.configure(entry)
+	runtime.GC()
+	watch()
+	before := peak.Load()
+	q, _ := http.NewRequest(http.MethodPut, "http://"+entry.FrontAddress()+"/stock/items", zeros(big))
+	q.ContentLength = big
+	q.Header.Set("Key", orgKey)
+	w, err := caller.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Body.Close()
+	n, err := io.Copy(io.Discard, w.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int64{big, big}, []int64{n, atoi(w.Trailer.Get("Got"))}); diff != "" {
+		t.Error(diff)
+	}
+	if grown := peak.Load() - before; grown > big/3 {
+		t.Errorf("memory grew by %d MB", grown>>20)
+	}
+}
+
+func atoi(s string) int64 {
+	n, _ := strconv.ParseInt(s, 10, 64)
+	return n
+}
+
+func TestLimits(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), `, "body": 100000, "stall": 0.2`)
+	var ran atomic.Int32
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, err := io.Copy(io.Discard, q.Body); err == nil {
+			ran.Add(1)
+		}
+		if q.Method == http.MethodGet {
+			_, _ = io.Copy(w, zeros(big))
+		}
+	}), "")
+	r.configure(entry)
+	cases := map[string]struct {
+		send string
+		want string
+	}{
+		"body by length":  {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nKey: " + orgKey + "\r\nContent-Length: 100001\r\n\r\n", want: "HTTP/1.1 413"},
+		"header":          {send: "GET /stock/items HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("a", 80<<10), want: "HTTP/1.1 431"},
+		"malformed":       {send: "GET\r\n\r\n", want: "HTTP/1.1 400"},
+		"short body":      {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nKey: " + orgKey + "\r\nContent-Length: 10\r\n\r\nabc", want: "HTTP/1.1 400"},
+		"body in chunks":  {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nKey: " + orgKey + "\r\nTransfer-Encoding: chunked\r\n\r\n186A1\r\n" + strings.Repeat("a", 100001) + "\r\n0\r\n\r\n", want: "HTTP/1.1 413"},
+		"long slow body":  {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nKey: " + orgKey + "\r\nContent-Length: 90000\r\n\r\nabc", want: "HTTP/1.1 400"},
+		"two lengths":     {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nabc", want: "HTTP/1.1 400"},
+		"length and more": {send: "PUT /stock/items HTTP/1.1\r\nHost: a\r\nKey: " + orgKey + "\r\nContent-Length: x\r\n\r\n", want: "HTTP/1.1 400"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", entry.FrontAddress())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, tc.send)
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			if !strings.HasPrefix(line, tc.want) {
+				t.Errorf("answer %q, want %q", line, tc.want)
+			}
+		})
+	}
+	if n := ran.Load(); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), `, "stall": 0.2`)
+	ended := make(chan struct{})
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := io.Copy(w, zero{})
+		if err != nil {
+			close(ended)
+		}
+	}), "")
+	r.configure(entry)
+	conn, err := net.Dial("tcp", entry.FrontAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "GET /stock/items HTTP/1.1\r\nHost: a\r\nKey: %s\r\n\r\n", orgKey)
+	<-ended
+}
+
+func TestLongAnswerOutlivesTheDeadlineOfTheSettings(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), `, "deadline": 0.3, "stall": 5`)
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 10 {
+			_, _ = io.WriteString(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(60 * time.Millisecond)
+		}
+	}), "")
+	r.configure(entry)
+	_, text, err := entry.do(t.Context(), http.MethodGet, "/stock/items", nil)
+	if diff := cmp.Diff("xxxxxxxxxx", text); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if _, text, err = entry.do(t.Context(), http.MethodGet, "/stock/items", nil, "Deadline", "290"); err == nil {
+		t.Errorf("took %q for whole after the caller's deadline", text)
+	}
+}
+
+func TestKeyReachesNoTarget(t *testing.T) {
+	const odd = "key&of=odd/bytes%41"
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = fmt.Fprint(w, q.Method, q.RequestURI, q.Header, q.Trailer, q.Host)
+	}), "")
+	r.configure(entry)
+	r.tell(entry, "grant acme key "+odd)
+	r.await(func(u *unit) bool { return u.Loop().View().Config().Revision() == 2 })
+	const with = " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+	cases := map[string]struct {
+		send   string
+		status string
+	}{
+		"bearer":            {send: "GET /stock/items" + with + "aUTHorization: bEARer " + orgKey + "\r\n\r\n", status: "200"},
+		"header":            {send: "GET /stock/items" + with + "KEY: " + orgKey + "\r\n\r\n", status: "200"},
+		"both":              {send: "GET /stock/items" + with + "Key: " + orgKey + "\r\nCookie: a=1; key=" + orgKey + "\r\n\r\n", status: "200"},
+		"query":             {send: "GET /stock/items?a=1&kEy=" + orgKey + "&key=" + orgKey + with + "\r\n", status: "200"},
+		"query with others": {send: "GET /stock/items?b=" + orgKey + "&a;key=" + orgKey + with + "Key: " + orgKey + "\r\n\r\n", status: "200"},
+		"referer":           {send: "GET /stock/items" + with + "Key: " + orgKey + "\r\nReferer: http://a/?key=" + orgKey + "\r\n\r\n", status: "200"},
+		"escaped referer":   {send: "GET /stock/items" + with + "Key: " + orgKey + "\r\nReferer: http://a/?key=%73ecret-key-of-acme\r\n\r\n", status: "200"},
+		"header name":       {send: "GET /stock/items" + with + "Key: " + orgKey + "\r\n" + orgKey + ": 1\r\n\r\n", status: "200"},
+		"path":              {send: "GET /stock/items/" + orgKey + with + "Key: " + orgKey + "\r\n\r\n", status: "400"},
+		"proxy":             {send: "GET /stock/items" + with + "Key: " + orgKey + "\r\nProxy-Authorization: Bearer " + orgKey + "\r\n\r\n", status: "200"},
+		"user of the URL":   {send: "GET http://" + orgKey + "@a/stock/items" + with + "Key: " + orgKey + "\r\n\r\n", status: "200"},
+		"host":              {send: "GET /stock/items HTTP/1.1\r\nHost: " + orgKey + "\r\nConnection: close\r\nKey: " + orgKey + "\r\n\r\n", status: "200"},
+		"hop header":        {send: "GET /stock/items HTTP/1.1\r\nHost: a\r\nConnection: close, x-a\r\nX-A: " + orgKey + "\r\nKey: " + orgKey + "\r\n\r\n", status: "200"},
+		"trailer": {
+			send:   "PUT /stock/items" + with + "Key: " + orgKey + "\r\nTransfer-Encoding: chunked\r\nTrailer: Key\r\n\r\n1\r\na\r\n0\r\nKey: " + orgKey + "\r\n\r\n",
+			status: "200",
+		},
+		"odd key in the query": {send: "GET /stock/items?key=key%26of%3Dodd%2Fbytes%2541&b=key%26of%3Dodd%2fbytes%2541" + with + "\r\n", status: "200"},
+		"unknown key":          {send: "GET /stock/items" + with + "Key: secret-key-of-nobody\r\n\r\n", status: "401"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := exchange(t, entry.FrontAddress(), tc.send)
+			if !strings.HasPrefix(text, "HTTP/1.1 "+tc.status) {
+				t.Error(text)
+			}
+			for _, key := range []string{"ecret-key", "cret-Key", "odd"} {
+				if strings.Contains(strings.ToLower(text), strings.ToLower(key)) {
+					t.Errorf("holds the key: %s", text)
+				}
+			}
+		})
+	}
+	metrics := exchange(t, entry.OperAddress(), "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	if strings.Contains(metrics, orgKey) || !strings.Contains(metrics, "anvilstand_served_total") {
+		t.Error("counters hold a key, or nothing")
+	}
+}
+
+func exchange(t *testing.T, address, send string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, send)
+	text, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestWithdrawnKeyStopsQueuedRequests(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), `, "deadline": 30, "budget": 0`)
+	release := make(chan struct{})
+	var withdrawn, after atomic.Bool
+	r.add("stock-north-1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if withdrawn.Load() {
+			after.Store(true)
+		}
+		<-release
+	}), "")
+	r.configure(entry)
+	const callers = 80
+	var g errgroup.Group
+	var refused atomic.Int32
+	for range callers {
+		g.Go(func() error {
+			w, text, err := entry.do(t.Context(), http.MethodPost, "/stock/orders", nil)
+			if err == nil && w.StatusCode == http.StatusUnauthorized && strings.Contains(text, `"run":"not"`) {
+				refused.Add(1)
+			}
+			return err
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	r.tell(entry, "withdraw key "+orgKey)
+	r.await(func(u *unit) bool { return u.Loop().View().Config().Revision() == 2 })
+	withdrawn.Store(true)
+	close(release)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if after.Load() {
+		t.Error("a request ran for a withdrawn key")
+	}
+	if refused.Load() == 0 {
+		t.Error("no request was queued")
+	}
+}
--- /dev/null
+++ b/io/daemon/retry_test.go
@@ -0,0 +1,176 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/model"
+)
+
+// TestAttempts counts how often a request reaches targets that do not answer.
+func TestAttempts(t *testing.T) {
+	const dies = ""
+	cases := map[string]struct {
+		method, path string
+		header       []string
+		answer       string
+		status       int
+		body         string
+		most, least  int32
+	}{
+		"idempotent":                  {method: http.MethodGet, path: "/stock/items", answer: dies, status: 502, body: `"run":"unknown"`, least: 2, most: 4},
+		"not idempotent":              {method: http.MethodPost, path: "/stock/orders", answer: dies, status: 502, body: `"run":"unknown"`, least: 1, most: 1},
+		"not idempotent GET":          {method: http.MethodGet, path: "/stock/once", answer: dies, status: 502, body: `"run":"unknown"`, least: 1, most: 1},
+		"header of the transport":     {method: http.MethodGet, path: "/stock/once", header: []string{"X-Idempotency-Key", "1"}, answer: dies, status: 502, least: 1, most: 1},
+		"target says refused":         {method: http.MethodPost, path: "/stock/orders", answer: "HTTP/1.1 200 OK\r\nRefusal: shed\r\nUnspent: 9\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", least: 1, most: 1},
+		"target says it switches":     {method: http.MethodPost, path: "/stock/orders", header: []string{"Upgrade", "x", "Connection", "upgrade"}, answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", status: 502, body: `"run":"unknown"`, least: 1, most: 1},
+		"interim responses":           {method: http.MethodPost, path: "/stock/orders", answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", least: 1, most: 1},
+		"answer that is no HTTP":      {method: http.MethodPost, path: "/stock/orders", answer: "hello\r\n\r\n", status: 502, body: `"run":"unknown"`, least: 1, most: 1},
+		"headers without end":         {method: http.MethodPost, path: "/stock/orders", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 100<<10), status: 502, body: `"run":"unknown"`, least: 1, most: 1},
+		"idempotency key and a GET":   {method: http.MethodGet, path: "/stock/items", header: []string{"Idempotency-Key", "1"}, answer: dies, status: 502, least: 2, most: 4},
+		"target that sheds by itself": {method: http.MethodGet, path: "/stock/items", answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", status: 503, least: 1, most: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			target := raw(t, func(conn net.Conn, in *bufio.Reader) {
+				// The first answers are whole, so that connections are pooled.
+				for {
+					q, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if q.URL.Path != "/items/first" {
+						break
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+				ran.Add(1)
+				_, _ = io.WriteString(conn, tc.answer)
+			})
+			r := newRig(t)
+			entry := r.add("entry-north-1", nothing(), "")
+			for i := range 3 {
+				r.addOver(fmt.Sprintf("stock-north-%d", i), target, "", newNet())
+			}
+			r.configure(entry)
+			for range 60 {
+				if w, _, err := entry.do(t.Context(), http.MethodGet, "/stock/items/first", nil); err != nil || w.StatusCode != http.StatusOK {
+					t.Fatal(w, err)
+				}
+			}
+			ran.Store(0)
+			w, text, err := entry.do(t.Context(), tc.method, tc.path, nil, tc.header...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.status, w.StatusCode); diff != "" || !strings.Contains(text, tc.body) {
+				t.Error(diff, text)
+			}
+			if n := ran.Load(); n < tc.least || n > tc.most {
+				t.Errorf("reached a target %d times, want %d to %d", n, tc.least, tc.most)
+			}
+		})
+	}
+}
+
+func TestUnreachedTargetIsTriedElsewhere(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	r.addOver("stock-north-1", "http://"+closed.Addr().String(), "", newNet())
+	var ran atomic.Int32
+	r.add("stock-north-2", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }), "")
+	r.configure(entry)
+	for range 20 {
+		if w, _, err := entry.do(t.Context(), http.MethodGet, "/stock/items", nil); err != nil || w.StatusCode > 499 {
+			t.Log(w, err)
+		}
+	}
+	ran.Store(0)
+	for range 8 {
+		w, text, err := entry.do(t.Context(), http.MethodPost, "/stock/orders", strings.NewReader("x"))
+		if err != nil || w.StatusCode == http.StatusOK {
+			continue
+		}
+		if !strings.Contains(text, `"reason":"notarget","run":"not"`) {
+			t.Error(w.StatusCode, text)
+		}
+	}
+	if ran.Load() == 0 {
+		t.Error("no request reached the target that lives")
+	}
+}
+
+func TestRefusalsCarryAWait(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	r.configure(entry)
+	w, text, err := entry.do(t.Context(), http.MethodGet, "/stock/items", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(http.StatusServiceUnavailable, w.StatusCode); diff != "" || !strings.Contains(text, `"reason":"notarget"`) {
+		t.Error(diff, text)
+	}
+	if w.Header.Get("Retry-After") == "" || w.Header.Get("Request") == "" {
+		t.Error(w.Header)
+	}
+	if lines := entry.Trace(model.Request(w.Header.Get("Request"))); len(lines) < 2 {
+		t.Error("explains nothing: ", lines)
+	}
+}
+
+func TestSilentConnection(t *testing.T) {
+	r := newRig(t)
+	n := newNet()
+	entry := r.addOver("entry-north-1", "http://127.0.0.1:1", `, "deadline": 20`, n)
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/items/slow" {
+			time.Sleep(3500 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "ok")
+	}), "")
+	r.configure(entry)
+	cases := map[string]struct {
+		method, path string
+		quiet        time.Duration
+		most         time.Duration
+	}{
+		"idempotent":                   {method: http.MethodGet, path: "/stock/items", most: 3 * time.Second},
+		"not idempotent, after a rest": {method: http.MethodPost, path: "/stock/orders", quiet: 600 * time.Millisecond, most: time.Second},
+		"slow but live":                {method: http.MethodGet, path: "/stock/items/slow", most: 9 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for range 15 {
+				if _, _, err := entry.do(t.Context(), tc.method, strings.TrimSuffix(tc.path, "/slow"), nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n.silence()
+			time.Sleep(tc.quiet)
+			began := time.Now()
+			w, text, err := entry.do(t.Context(), tc.method, tc.path, nil)
+			if err != nil || text != "ok" {
+				t.Fatal(w, text, err)
+			}
+			if took := time.Since(began); took > tc.most {
+				t.Errorf("took %s, want at most %s", took, tc.most)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/daemon/rig_test.go
@@ -0,0 +1,198 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/model"
+	"anvilstand/io/daemon"
+	"anvilstand/io/prefs"
+	"anvilstand/io/stand"
+	"anvilstand/io/wire"
+)
+
+// rig is a fleet of daemons on loopback with one store. Organisation acme has
+// orgKey and a rate that no test reaches.
+type rig struct {
+	t     testing.TB
+	store stand.Stand
+	all   map[string]*unit
+	ctx   context.Context
+	group *errgroup.Group
+}
+
+// unit is a daemon of a rig and what ends it.
+type unit struct {
+	*daemon.Daemon
+	stop func()
+	done chan struct{}
+}
+
+func newRig(t testing.TB) *rig {
+	ctx, stop := context.WithCancel(context.Background())
+	g, ctx := errgroup.WithContext(ctx)
+	r := &rig{t: t, all: map[string]*unit{}, ctx: ctx, group: g}
+	t.Cleanup(func() {
+		stop()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// add starts a daemon, named service-domain-n, with more settings as JSON
+// members.
+func (r *rig) add(name string, target http.Handler, more string) *unit {
+	back := httptest.NewServer(target)
+	r.t.Cleanup(back.Close)
+	return r.addOver(name, back.URL, more, wire.TCP{})
+}
+
+func (r *rig) addOver(name, target, more string, n wire.Network) *unit {
+	r.t.Helper()
+	parts := strings.Split(name, "-")
+	text := fmt.Sprintf(`{"name": %q, "domain": %q, "service": %q, "front": "127.0.0.1:0", "peer": "127.0.0.1:0",
+		"oper": "127.0.0.1:0", "target": %q, "store": "http://127.0.0.1:1", "secret": "peer-secret",
+		"operators": {"ana": %q}, "grace": 5, "settle": 0%s}`, name, parts[1], parts[0], target, operKey, more)
+	p, err := prefs.Parse([]byte(text))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	d, err := daemon.New(p, n, &r.store, hclog.NewNullLogger())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	u := &unit{Daemon: d, stop: stop, done: make(chan struct{})}
+	r.all[name] = u
+	r.group.Go(func() error {
+		defer close(u.done)
+		return d.Run(ctx, []model.Domain{"north", "south"})
+	})
+	return u
+}
+
+func (r *rig) tell(u *unit, text string) {
+	r.t.Helper()
+	url := fmt.Sprintf("http://%s/tell?op=op%d", u.OperAddress(), time.Now().UnixNano())
+	q, err := http.NewRequest(http.MethodPost, url, strings.NewReader(text))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+operKey)
+	w, err := http.DefaultClient.Do(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer w.Body.Close()
+	if body, _ := io.ReadAll(w.Body); w.StatusCode != http.StatusOK {
+		r.t.Fatal(w.StatusCode, string(body))
+	}
+}
+
+const rigSetup = `add service entry
+add service stock
+add route entry GET /warm idempotent
+add route stock GET /items idempotent
+add route stock PUT /items idempotent
+add route stock GET /once
+add route stock POST /orders
+add org acme rate 100000 burst 10000
+grant acme key ` + orgKey
+
+// configure gives the setup through a daemon and waits until all have it in
+// force and know each other.
+func (r *rig) configure(u *unit) {
+	r.t.Helper()
+	r.tell(u, rigSetup)
+	r.await(func(u *unit) bool {
+		v := u.Loop().View()
+		return v.Config().Revision() >= 1 && len(v.Members()) == len(r.all)
+	})
+	r.await((*unit).warm)
+}
+
+// warm reports whether the daemon has a share of acme's rate, which is empty at
+// first.
+func (u *unit) warm() bool {
+	w, _, err := u.do(context.Background(), http.MethodGet, "/entry/warm", nil)
+	return err == nil && w.StatusCode != http.StatusTooManyRequests
+}
+
+func (r *rig) await(ready func(*unit) bool) {
+	r.t.Helper()
+	for range 1000 {
+		all := true
+		for _, u := range r.all {
+			all = all && ready(u)
+		}
+		if all {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatal("the fleet did not get ready")
+}
+
+// caller is a client that keeps no connection.
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// do sends a request with acme's key and returns the answer with its body.
+func (u *unit) do(ctx context.Context, method, path string, body io.Reader, header ...string) (*http.Response, string, error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+u.FrontAddress()+path, body)
+	if err != nil {
+		return nil, "", err
+	}
+	q.Header.Set("Authorization", "Bearer "+orgKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	w, err := caller.Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer w.Body.Close()
+	text, err := io.ReadAll(w.Body)
+	return w, string(text), err
+}
+
+// raw is a target that speaks its own HTTP: it is called with each connection
+// and the requests that arrive on it.
+func raw(t testing.TB, serve func(conn net.Conn, in *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return err
+			}
+			g.Go(func() error {
+				defer conn.Close()
+				serve(conn, bufio.NewReader(conn))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		_ = g.Wait()
+	})
+	return "http://" + ln.Addr().String()
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -4,83 +4,130 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"time"
 
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/core/once"
+	"anvilstand/core/retry"
+	"anvilstand/core/trace"
 	"anvilstand/io/codec"
 )
 
-// attempt sends a request to one target's daemon. An error is a refusal.
-func (f *Front) attempt(ctx context.Context, j job, p *parcel, tried map[model.Instance]bool) (*http.Response, error) {
-	m, ok := f.picker.pick(j.view, j.service, tried)
+// attempt sends a request to one target's daemon, with a part of the retries.
+// An error is a refusal.
+func (f *Front) attempt(ctx context.Context, j *job, p *parcel, t *tries) (*http.Response, error) {
+	m, ok := f.choose(j, t)
 	if !ok {
 		return nil, model.Refuse(model.NoTarget{}, 0)
 	}
-	tried[m.Name()] = true
-	if deadline, ok := ctx.Deadline(); ok {
-		j.call = j.call.WithLeft(time.Until(deadline))
-	}
+	t.tried[m.Name()] = true
+	f.note(j.call, trace.NewPicked(m.Name()))
+	var part retry.Part
+	j.budget.Lend(&part)
+	call := j.call.WithLeft(time.Until(j.until)).WithBudget(part.Size())
 	f.picker.add(m.Name(), 1)
-	from, err := send(f.peers, f.peerRequest(ctx, j, p, m))
-	if err == nil {
-		if refusal, is := readRefusal(from); is {
-			_ = from.Body.Close()
-			err = refusal
-		}
-	}
+	from, unspent, err := f.reach(ctx, j, p, m, call)
+	j.budget.Return(&part, unspent)
 	if err != nil {
 		f.picker.add(m.Name(), -1)
+		f.note(j.call, trace.NewRefused(refusalOf(err)))
 		return nil, err
 	}
 	from.Body = &closing{ReadCloser: from.Body, done: func() { f.picker.add(m.Name(), -1) }}
 	return from, nil
 }
 
-// closing calls done once when an answer's body is closed.
-type closing struct {
-	io.ReadCloser
-	done func()
+// choose picks a target. A request with an idempotency key has only one.
+func (f *Front) choose(j *job, t *tries) (fleet.Member, bool) {
+	if j.call.Once() == "" {
+		return f.picker.pick(j.view, j.service, t.tried)
+	}
+	home, _ := once.Pair(j.view.Serving(j.service), once.Key(j.call.Once()))
+	return home, home.Name() != ""
 }
 
-// Close closes the body.
-func (c *closing) Close() error {
-	c.done()
-	return c.ReadCloser.Close()
+// reach runs a request at the target beside this daemon, or sends it to another
+// daemon. It also returns the retries that were not spent.
+func (f *Front) reach(ctx context.Context, j *job, p *parcel, m fleet.Member, call model.Call) (*http.Response, int, error) {
+	out := f.outbound(ctx, j, p)
+	if m.Name() == j.view.Self().Name() {
+		out.URL.Opaque = j.path
+		return f.perform(ctx, call, out)
+	}
+	out.URL.Scheme, out.URL.Host, out.URL.Path = "http", m.Address(), "/relay"
+	out.URL.Opaque = "//" + m.Address() + "/relay" + j.path
+	out.Header.Set(headerCall, codec.EncodeCall(call))
+	out.Header.Set("Authorization", f.secret)
+	from, err := f.exchange(out, p.stream != nil, f.peersFor(j))
+	if err != nil {
+		return nil, 0, err
+	}
+	unspent, _ := strconv.Atoi(from.Header.Get(headerUnspent))
+	if refusal, is := readRefusal(from); is {
+		_ = from.Body.Close()
+		return nil, unspent, refusal
+	}
+	dropOwn(from)
+	return from, unspent, nil
 }
 
-func (f *Front) peerRequest(ctx context.Context, j job, p *parcel, m fleet.Member) *http.Request {
+func (f *Front) peersFor(j *job) http.RoundTripper {
+	if j.route.Idempotent() {
+		return f.peers
+	}
+	return f.freshPeers
+}
+
+// exchange sends a request to a peer and waits for its answer. Unless the body
+// streams, a peer that is silent has lost the connection.
+func (f *Front) exchange(out *http.Request, streams bool, t http.RoundTripper) (*http.Response, error) {
+	if streams {
+		out.Header.Set("Expect", "100-continue")
+		return send(t, out, nil)
+	}
+	ctx, cancel := context.WithCancelCause(out.Context())
+	quiet := time.AfterFunc(silence, func() { cancel(errSilent) })
+	from, err := send(t, out.WithContext(ctx), func() { quiet.Reset(silence) })
+	quiet.Stop()
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	from.Body = &closing{ReadCloser: from.Body, done: func() { cancel(nil) }}
+	return from, nil
+}
+
+// outbound returns a request without the keys and without a place to go to.
+func (f *Front) outbound(ctx context.Context, j *job, p *parcel) *http.Request {
 	r := p.request
-	query := url.URL{RawQuery: r.URL.RawQuery}
 	out := (&http.Request{
 		Method: r.Method,
-		URL:    &url.URL{Scheme: "http", Host: m.Address(), Path: "/relay", Opaque: "//" + m.Address() + "/relay" + j.path},
-		Header: http.Header{},
+		URL:    &url.URL{RawQuery: r.URL.RawQuery},
+		Header: make(http.Header, len(r.Header)+headersAdded),
 	}).WithContext(ctx)
 	copyHeader(out.Header, r.Header)
-	stripKey(out.Header, &query, j.key)
-	out.URL.RawQuery = query.RawQuery
-	out.Header.Set(headerCall, codec.EncodeCall(j.call))
-	out.Header.Set("Authorization", "Bearer "+f.prefs.Secret())
+	stripKeys(out.Header, out.URL, j.keys)
 	p.fill(out)
 	return out
 }
 
-// send makes one round trip. When it fails before there was a connection, the
-// refusal says that the request did not run.
-func send(t http.RoundTripper, r *http.Request) (*http.Response, error) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	from, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	switch {
-	case err == nil:
-		return from, nil
-	case !connected:
-		return nil, model.Refuse(model.NoTarget{}, 0)
-	case r.Context().Err() != nil:
-		return nil, model.Fail(model.Late{})
+// headersAdded is how many headers are added on the way.
+const headersAdded = 4
+
+// closing calls done once when an answer's body is closed.
+type closing struct {
+	io.ReadCloser
+	done func()
+}
+
+// Close closes the body.
+func (c *closing) Close() error {
+	if c.done != nil {
+		c.done()
+		c.done = nil
 	}
-	return nil, model.Fail(model.Broken{})
+	return c.ReadCloser.Close()
 }
--- a/io/front/copy.go
+++ b/io/front/copy.go
@@ -2,23 +2,31 @@
 
 import (
 	"io"
+	"maps"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"anvilstand/core/model"
 )
 
 // buffers hold what is on its way between two connections.
 var buffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
 
 // stream copies an answer and flushes as it goes. An error means that the
-// answer broke off.
-func stream(w http.ResponseWriter, body io.Reader) error {
+// answer broke off. A caller that takes nothing for the limit's stall time is
+// cut off.
+func stream(w http.ResponseWriter, body io.Reader, l *limit) error {
 	buf := buffers.Get().(*[32 << 10]byte)
 	defer buffers.Put(buf)
-	flusher := http.NewResponseController(w)
+	caller := http.NewResponseController(w)
 	for {
 		n, err := body.Read(buf[:])
+		l.moved()
 		if n > 0 {
+			_ = caller.SetWriteDeadline(time.Now().Add(l.stall))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return werr
 			}
@@ -29,39 +37,76 @@
 		if err != nil {
 			return err
 		}
-		if err := flusher.Flush(); err != nil {
+		if err := caller.Flush(); err != nil {
 			return err
 		}
 	}
 }
 
-// answer passes a whole answer on. When it breaks off, the caller's connection
-// is reset, so that the caller does not take a part for the whole.
-func answer(w http.ResponseWriter, from *http.Response) {
+// answer passes an answer on. An error means that it broke off: abort then
+// resets the connection, so that its reader does not take a part for the whole.
+func answer(w http.ResponseWriter, from *http.Response, l *limit) error {
+	l.moved()
 	copyHeader(w.Header(), from.Header)
-	for name := range from.Trailer {
+	declared := maps.Clone(from.Trailer)
+	for name := range declared {
 		w.Header().Add("Trailer", name)
 	}
 	w.WriteHeader(from.StatusCode)
-	if err := stream(w, from.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	if err := stream(w, from.Body, l); err != nil {
+		return err
 	}
 	for name, values := range from.Trailer {
+		if _, ok := declared[name]; !ok {
+			name = http.TrailerPrefix + name
+		}
 		w.Header()[name] = values
 	}
+	return nil
+}
+
+// abort cuts off an answer that has begun. It resets the connection, as a
+// caller that reads until the end of the connection would take an ordinary end
+// for the end of the answer.
+func abort(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	raw := conn
+	if under, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		raw = under.NetConn()
+	}
+	if tcp, ok := raw.(interface{ SetLinger(int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = raw.Close()
 }
 
 // body is a request's body that the transport takes for one that cannot be
 // sent again, so that it never sends a request twice by itself.
 type body struct {
 	from    io.Reader
+	caller  *http.ResponseController
+	stall   time.Duration
 	touched atomic.Bool
+	failed  atomic.Pointer[model.Refusal]
 }
 
-// Read reads from the caller.
+// Read reads from the caller, which has the stall time to send something.
 func (b *body) Read(p []byte) (int, error) {
 	b.touched.Store(true)
-	return b.from.Read(p)
+	if b.caller == nil {
+		return b.from.Read(p)
+	}
+	_ = b.caller.SetReadDeadline(time.Now().Add(b.stall))
+	n, err := b.from.Read(p)
+	if err == io.EOF {
+		_ = b.caller.SetReadDeadline(time.Time{})
+	} else if err != nil {
+		b.failed.Store(refuseBody(err))
+	}
+	return n, err
 }
 
 // Close does nothing: the server closes the caller's body itself.
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +8,8 @@
 
 	"anvilstand/core/conf"
 	"anvilstand/core/model"
+	"anvilstand/core/retry"
+	"anvilstand/core/trace"
 	"anvilstand/io/ctrl"
 )
 
@@ -19,40 +20,101 @@
 	service model.Service
 	route   conf.Route
 	path    string
-	key     string
+	keys    []string
+	budget  retry.Budget
+	until   time.Time
+	firm    bool
+	// parent is the token of the request for which the target makes this one,
+	// and part what it got of that one's retries.
+	parent string
+	part   retry.Part
 }
 
 // Callers serves callers: clients, and the target beside this daemon.
 func (f *Front) Callers() http.Handler { return http.HandlerFunc(f.serveCaller) }
 
 func (f *Front) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.ContentLength != 0 {
+		// The server reads what is left of a body before it sends a refusal.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.prefs.Stall()))
+	}
+	f.work.begin()
+	defer f.work.end()
 	j, err := f.accept(r)
+	began := false
 	if err == nil {
-		err = f.forward(w, r, j)
+		began, err = f.forward(w, r, j)
 	}
-	if err != nil {
-		refusal := refusalOf(err)
-		f.meter.Refuse(j.call.Org(), refusal.Reason())
-		writeRefusal(w, refusal)
-		return
+	if j.parent != "" {
+		f.running.refund(j.parent, &j.part, j.budget.Left())
 	}
-	f.meter.Serve(j.call.Org(), j.service)
+	switch {
+	case err == nil:
+		f.meter.Serve(j.call.Org(), j.service)
+	case began:
+		f.meter.Refuse(j.call.Org(), refusalOf(err).Reason())
+		f.note(j.call, trace.Cut{})
+		abort(w)
+	default:
+		f.refuse(w, j, refusalOf(err))
+	}
+}
+
+func (f *Front) refuse(w http.ResponseWriter, j *job, refusal *model.Refusal) {
+	refusal = refusal.WithWait(f.jitter(retry.Wait(refusal)))
+	f.meter.Refuse(j.call.Org(), refusal.Reason())
+	f.note(j.call, trace.NewRefused(refusal))
+	writeRefusal(w, refusal, func(h http.Header) {
+		if id := j.call.ID(); id != "" {
+			h.Set(headerRequest, string(id))
+		}
+		if f.leaving.Load() {
+			h.Set("Connection", "close")
+		}
+	})
 }
 
 // accept decides whether a request may go on at all: its route, its key and
 // its organisation's share.
-func (f *Front) accept(r *http.Request) (job, error) {
-	j := job{view: f.loop.View(), key: keyOf(r)}
+func (f *Front) accept(r *http.Request) (*job, error) {
+	j := &job{view: f.loop.View(), keys: keysOf(r)}
+	token := r.Header.Get(headerCall)
+	if token == "" {
+		j.call = model.NewCall(model.Request(randomID()), "", model.RankDefault)
+	}
+	if f.refusing.Load() && token == "" {
+		return j, model.Refuse(model.Leaving{}, 0)
+	}
 	if r.ContentLength > f.prefs.MaxBody() {
 		return j, model.Refuse(model.TooLarge{}, 0)
 	}
 	if err := j.match(r); err != nil {
 		return j, err
 	}
-	if token := r.Header.Get(headerCall); token != "" {
-		return f.acceptChild(j, token)
+	if holdsKey(j.path, j.keys) {
+		return j, model.Refuse(model.BadRequest{}, 0)
+	}
+	err := f.acceptCall(j, r, token)
+	if err == nil {
+		j.markOnce(r)
+		f.note(j.call, trace.NewAccepted(j.call.Org(), j.service, j.call.Rank()))
+	}
+	return j, err
+}
+
+func (f *Front) acceptCall(j *job, r *http.Request, token string) error {
+	left, firm, err := f.timeLeft(r)
+	if err != nil {
+		return err
+	}
+	j.firm = firm
+	if token != "" {
+		return f.acceptChild(j, token, left)
 	}
-	return f.acceptRoot(j, r)
+	return f.acceptRoot(j, left)
 }
 
 func (j *job) match(r *http.Request) error {
@@ -68,44 +130,56 @@
 	return nil
 }
 
-func (f *Front) acceptChild(j job, token string) (job, error) {
-	call, ok := f.running.child(token)
+func (f *Front) acceptChild(j *job, token string, left time.Duration) error {
+	call, part, ok := f.running.child(token)
 	if !ok {
-		return j, model.Refuse(model.BadRequest{}, 0)
+		return model.Refuse(model.BadRequest{}, 0)
 	}
-	j.call = call
-	return j, nil
+	j.parent, j.part = token, part
+	j.budget = retry.NewBudget(part.Size())
+	j.call = call.WithOnce("").WithLeft(min(left, call.Left()))
+	j.until = time.Now().Add(j.call.Left())
+	return granted(j.view.Config(), j.call)
 }
 
-func (f *Front) acceptRoot(j job, r *http.Request) (job, error) {
-	org, err := j.holder()
+func (f *Front) acceptRoot(j *job, left time.Duration) error {
+	org, tag, err := j.holder()
 	if err != nil {
-		return j, err
-	}
-	j.call = model.NewCall(model.Request(randomID()), org, j.rank(org))
-	left, err := f.timeLeft(r)
-	if err != nil {
-		return j, err
+		return err
 	}
-	j.call = j.call.WithLeft(left).WithBudget(f.prefs.Budget())
+	j.call = model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left)
+	j.until = time.Now().Add(left)
+	j.budget = retry.NewBudget(f.prefs.Budget())
 	if org == "" {
-		return j, nil
+		return nil
 	}
-	return j, f.purse.spend(j.view, org)
+	j.call = j.call.WithKey(tag, j.view.Config().Revision())
+	return f.purse.spend(j.view, org)
 }
 
-func (j *job) holder() (model.Org, error) {
+func (j *job) holder() (model.Org, string, error) {
 	if j.route.Open() {
-		return "", nil
+		return "", "", nil
 	}
-	if j.key == "" {
-		return "", model.Refuse(model.NoKey{}, 0)
+	if len(j.keys) == 0 {
+		return "", "", model.Refuse(model.NoKey{}, 0)
 	}
-	org, ok := j.view.Config().Holder(conf.DigestOf(j.key))
+	digest := conf.DigestOf(j.keys[0])
+	org, ok := j.view.Config().Holder(digest)
 	if !ok {
-		return "", model.Refuse(model.BadKey{}, 0)
+		return "", "", model.Refuse(model.BadKey{}, 0)
 	}
-	return org, nil
+	return org, digest.Tag(), nil
+}
+
+// granted checks that the key of a call has not been withdrawn meanwhile. A
+// daemon whose configuration is older than the one that accepted the key cannot
+// tell, and takes the word of the other.
+func granted(c *conf.Config, call model.Call) error {
+	if call.Tag() == "" || c.Revision() < call.Revision() || c.Granted(call.Org(), call.Tag()) {
+		return nil
+	}
+	return model.Refuse(model.BadKey{}, 0)
 }
 
 func (j *job) rank(org model.Org) model.Rank {
@@ -118,56 +192,15 @@
 	return model.RankDefault
 }
 
-func (f *Front) timeLeft(r *http.Request) (time.Duration, error) {
+// timeLeft returns the time that a request has, and whether its caller set it.
+func (f *Front) timeLeft(r *http.Request) (time.Duration, bool, error) {
 	text := r.Header.Get(headerDeadline)
 	if text == "" {
-		return f.prefs.Deadline(), nil
+		return f.prefs.Deadline(), false, nil
 	}
 	n, err := strconv.ParseUint(text, 10, 31)
 	if err != nil {
-		return 0, model.Refuse(model.BadRequest{}, 0)
-	}
-	return min(f.prefs.Deadline(), time.Duration(n)*time.Millisecond), nil
-}
-
-// forward sends a request to a target's daemon and passes the answer on. It
-// tries another target when the first did not run the request, or when running
-// it twice does no harm, as far as the budget and the deadline go.
-func (f *Front) forward(w http.ResponseWriter, r *http.Request, j job) error {
-	ctx, cancel := context.WithTimeout(r.Context(), j.call.Left())
-	defer cancel()
-	p, err := newParcel(r, f.prefs.MaxBody())
-	if err != nil {
-		return err
+		return 0, false, model.Refuse(model.BadRequest{}, 0)
 	}
-	tried := map[model.Instance]bool{}
-	for {
-		from, err := f.attempt(ctx, j, p, tried)
-		if err == nil {
-			defer from.Body.Close()
-			answer(w, from)
-			return nil
-		}
-		why, again := retryReason(err, j, p)
-		if !again || ctx.Err() != nil {
-			return err
-		}
-		f.meter.Retry(j.service, why)
-		j.call = j.call.WithBudget(j.call.Budget() - 1)
-	}
-}
-
-func retryReason(err error, j job, p *parcel) (model.Retry, bool) {
-	refusal := refusalOf(err)
-	if j.call.Budget() <= 0 || !p.again() {
-		return nil, false
-	}
-	switch refusal.Run().(type) {
-	case model.NotRun:
-		_, none := refusal.Reason().(model.NoTarget)
-		return model.RetryRefused{}, !none
-	case model.MayHaveRun:
-		return model.RetryIdempotent{}, j.route.Idempotent()
-	}
-	return nil, false
+	return min(f.prefs.Deadline(), time.Duration(n)*time.Millisecond), true, nil
 }
--- a/io/front/flight.go
+++ b/io/front/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilstand/core/model"
+	"anvilstand/core/retry"
 )
 
 // flights are the requests that run at the target, by the token that the
@@ -17,8 +18,9 @@
 }
 
 type flight struct {
-	call  model.Call
-	until time.Time
+	call   model.Call
+	budget retry.Budget
+	until  time.Time
 }
 
 func (f *flights) begin(call model.Call) string {
@@ -28,28 +30,53 @@
 	if f.runs == nil {
 		f.runs = map[string]*flight{}
 	}
-	f.runs[token] = &flight{call: call, until: time.Now().Add(call.Left())}
+	f.runs[token] = &flight{call: call, budget: retry.NewBudget(call.Budget()), until: time.Now().Add(call.Left())}
 	return token
 }
 
-func (f *flights) end(token string) {
+// end forgets a request and returns the retries that it did not spend.
+func (f *flights) end(token string) int {
+	left := f.settle(token)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.runs, token)
+	return left
+}
+
+// settle takes the unspent retries out of a request whose answer begins.
+func (f *flights) settle(token string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run, ok := f.runs[token]
+	if !ok {
+		return 0
+	}
+	var rest retry.Part
+	run.budget.Drain(&rest)
+	return rest.Size()
 }
 
 // child returns the call of a request that the target makes for the one it
-// runs. Half of the retry budget goes with it.
-func (f *flights) child(token string) (model.Call, bool) {
+// runs, with a part of its retries.
+func (f *flights) child(token string) (model.Call, retry.Part, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	run, ok := f.runs[token]
 	if !ok {
-		return model.Call{}, false
+		return model.Call{}, retry.Part{}, false
+	}
+	var part retry.Part
+	run.budget.Lend(&part)
+	return run.call.WithLeft(time.Until(run.until)), part, true
+}
+
+// refund gives back what a child did not spend.
+func (f *flights) refund(token string, part *retry.Part, unspent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if run, ok := f.runs[token]; ok {
+		run.budget.Return(part, unspent)
 	}
-	part := run.call.Budget() / 2
-	run.call = run.call.WithBudget(run.call.Budget() - part)
-	return run.call.WithBudget(part).WithLeft(time.Until(run.until)), true
 }
 
 // idBytes is the length of a random id.
--- /dev/null
+++ b/io/front/forward.go
@@ -0,0 +1,146 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"anvilstand/core/model"
+	"anvilstand/core/retry"
+	"anvilstand/core/trace"
+)
+
+// tries is what an entry daemon remembers of the attempts of one request.
+type tries struct {
+	tried  map[model.Instance]bool
+	rounds int
+}
+
+// forward sends a request to a target's daemon and passes the answer on. It
+// tries another target when the first did not run the request, or when running
+// it twice does no harm, as far as the budget, the ratio and the deadline go.
+// It reports whether an answer began.
+func (f *Front) forward(w http.ResponseWriter, r *http.Request, j *job) (bool, error) {
+	p, err := newParcel(w, r, f.prefs.MaxBody(), f.prefs.Stall())
+	if err != nil {
+		return false, err
+	}
+	ctx, l := newLimit(r.Context(), time.Until(j.until), f.prefs.Stall(), j.firm)
+	defer l.end()
+	f.ratio.fresh(j.call.Org(), j.service)
+	t := &tries{tried: map[model.Instance]bool{}}
+	for {
+		from, err := f.attempt(ctx, j, p, t)
+		if err == nil {
+			defer from.Body.Close()
+			return true, f.pass(ctx, w, from, j, l)
+		}
+		if err := f.again(ctx, j, p, t, err); err != nil {
+			return false, err
+		}
+	}
+}
+
+func (f *Front) pass(ctx context.Context, w http.ResponseWriter, from *http.Response, j *job, l *limit) error {
+	f.note(j.call, trace.NewAnswered(from.StatusCode))
+	from.Header.Set(headerRequest, string(j.call.ID()))
+	if err := answer(w, from, l); err != nil {
+		return failure(ctx, true)
+	}
+	return nil
+}
+
+// again returns nil when the request may be tried once more, after the pause
+// that is due, and otherwise the refusal for the caller.
+func (f *Front) again(ctx context.Context, j *job, p *parcel, t *tries, err error) error {
+	refusal := refusalOf(err)
+	if len(t.tried) == 0 {
+		return refusal
+	}
+	if fault, is := p.fault(refusal.Run()); is {
+		return fault
+	}
+	why, ok := retry.Reason(refusal, j.route.Idempotent() || j.call.Once() != "")
+	if !ok {
+		return refusal
+	}
+	pause := f.pause(j, t, refusal)
+	if err := f.allow(j, p, pause); err != nil {
+		f.deny(j, err)
+		return refusal
+	}
+	f.meter.Retry(j.service, why)
+	f.note(j.call, trace.NewRetried(why, pause))
+	if rest(ctx, pause) != nil {
+		return refusal
+	}
+	j.view = f.loop.View()
+	return granted(j.view.Config(), j.call)
+}
+
+// pause returns how long to wait before the next attempt. It is zero while a
+// target is left that was not tried.
+func (f *Front) pause(j *job, t *tries, refusal *model.Refusal) time.Duration {
+	if j.call.Once() == "" {
+		for _, m := range f.loop.View().Serving(j.service) {
+			if !t.tried[m.Name()] {
+				return 0
+			}
+		}
+	}
+	clear(t.tried)
+	t.rounds++
+	f.rndMu.Lock()
+	defer f.rndMu.Unlock()
+	return retry.Pause(f.rnd, t.rounds-1, refusal)
+}
+
+// allow takes what a retry costs: time, one of the budget, one of the ratio.
+func (f *Front) allow(j *job, p *parcel, pause time.Duration) error {
+	if !p.again() {
+		return retry.NewError(retry.Consumed{})
+	}
+	if err := retry.Fits(time.Until(j.until), pause); err != nil {
+		return err
+	}
+	if j.budget.Left() == 0 {
+		return j.budget.Take()
+	}
+	if err := f.ratio.retry(j.call.Org(), j.service); err != nil {
+		return err
+	}
+	return j.budget.Take()
+}
+
+func (f *Front) deny(j *job, err error) {
+	var e *retry.Error
+	if errors.As(err, &e) {
+		f.meter.Deny(j.service, e.Why())
+		f.note(j.call, trace.NewDenied(e.Why()))
+	}
+}
+
+func (f *Front) jitter(wait time.Duration) time.Duration {
+	if wait == 0 {
+		return 0
+	}
+	f.rndMu.Lock()
+	defer f.rndMu.Unlock()
+	return retry.Jitter(f.rnd, wait)
+}
+
+func rest(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,8 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"anvilstand/core/once"
 	"anvilstand/io/clock"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/meter"
@@ -19,47 +23,77 @@
 	loop    *ctrl.Loop
 	meter   *meter.Meter
 	clock   clock.Clock
+	secret  string
+	base    *url.URL
 	gate    gate
 	purse   purse
 	picker  picker
 	running flights
-	peers   http.RoundTripper
-	target  http.RoundTripper
+	ratio   ratio
+	book    book
+	notes   notes
+	work    work
+	drain   drain
+	rndMu   sync.Mutex
+	rnd     *rand.Rand
+	// peers and target hold the connections of requests that may be sent
+	// again, freshPeers and freshTarget those of the others.
+	peers       *http.Transport
+	freshPeers  *http.Transport
+	target      *http.Transport
+	freshTarget *http.Transport
+	leaving     atomic.Bool
+	refusing    atomic.Bool
 }
 
 // New returns the traffic side of a daemon, which reaches the other daemons and
 // its target over a network each.
 func New(p *prefs.Prefs, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
 	c := clock.New()
-	return &Front{
+	base, _ := url.Parse(p.Target())
+	f := &Front{
 		prefs:  p,
 		loop:   l,
 		meter:  m,
 		clock:  c,
+		secret: bearer + p.Secret(),
+		base:   base,
 		gate:   gate{clock: c},
 		purse:  purse{clock: c},
-		picker: picker{rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		peers:  newTransport(peers),
-		target: newTransport(target),
+		drain:  drain{clock: c},
+		picker: picker{rnd: newRand()},
+		rnd:    newRand(),
+		book: book{
+			core: once.NewBook(p.Name(), p.Window()),
+			self: once.NewProcess(p.Name(), randomID()),
+		},
+		peers:       newTransport(peers, idleTimeout),
+		freshPeers:  newTransport(peers, freshTimeout),
+		target:      newTransport(target, idleTimeout),
+		freshTarget: newTransport(target, freshTimeout),
 	}
+	l.Watch(f.Observe)
+	return f
 }
 
-// Close refuses new work for a planned stop.
-func (f *Front) Close() { f.gate.close() }
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Bounds of the pooled connections.
 const (
-	idleTimeout  = 10 * time.Second
+	// idleTimeout is how long a connection may be idle and used again.
+	idleTimeout = 10 * time.Second
+	// freshTimeout is the same for requests that must not be sent twice.
+	freshTimeout = 500 * time.Millisecond
 	idlePerPeer  = 64
 	continueWait = 2 * time.Second
 	maxHeader    = 64 << 10 // bytes
 )
 
-func newTransport(n wire.Network) *http.Transport {
+func newTransport(n wire.Network, idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            n.DialContext,
+		DialContext:            dialCounted(n),
 		MaxIdleConnsPerHost:    idlePerPeer,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueWait,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
--- a/io/front/header.go
+++ b/io/front/header.go
@@ -12,72 +12,146 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// ownHeaders are answered by the daemons alone. A target's are dropped.
+var ownHeaders = []string{headerRefusal, headerUnspent, headerCall, headerRequest, headerDrain}
+
 // copyHeader copies the headers that go end to end.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+		to[name] = values
 	}
-	for _, list := range from.Values("Connection") {
+	for _, list := range from["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			to.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		to.Del(name)
+		delete(to, name)
+	}
+}
+
+// dropOwn takes out of a target's answer what only daemons may say.
+func dropOwn(from *http.Response) {
+	for _, name := range ownHeaders {
+		delete(from.Header, name)
+		delete(from.Trailer, name)
 	}
 }
 
-// keyOf returns the key that came with a request: a bearer token, the header
-// Key, the query parameter key or the cookie key.
-func keyOf(r *http.Request) string {
-	if token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
-		return token
+const bearer = "Bearer "
+
+// keysOf returns the keys that came with a request, the one that counts first:
+// a bearer token, the header Key, the query parameter key or the cookie key.
+func keysOf(r *http.Request) []string {
+	var keys []string
+	add := func(key string) {
+		if key != "" {
+			keys = append(keys, key)
+		}
 	}
-	if key := r.Header.Get(headerKey); key != "" {
-		return key
+	if v := r.Header.Get("Authorization"); len(v) > len(bearer) && strings.EqualFold(v[:len(bearer)], bearer) {
+		add(strings.TrimSpace(v[len(bearer):]))
 	}
-	if key := r.URL.Query().Get("key"); key != "" {
-		return key
+	add(r.Header.Get(headerKey))
+	if r.URL.RawQuery != "" {
+		add(r.URL.Query().Get("key"))
 	}
-	if c, err := r.Cookie("key"); err == nil {
-		return c.Value
+	if len(r.Header["Cookie"]) > 0 {
+		for _, c := range r.CookiesNamed("key") {
+			add(c.Value)
+		}
 	}
-	return ""
+	return keys
 }
 
-// stripKey takes every place where a key may stand out of what goes on, and
-// any other header or query value that holds this key.
-func stripKey(h http.Header, u *url.URL, key string) {
-	h.Del("Authorization")
-	h.Del(headerKey)
+// stripKeys takes every place where a key may stand out of what goes on, and
+// any other header or query value that holds one of these keys.
+func stripKeys(h http.Header, u *url.URL, keys []string) {
+	delete(h, "Authorization")
+	delete(h, headerKey)
 	stripCookie(h)
-	query := u.Query()
-	query.Del("key")
-	if key != "" {
-		stripValues(h, key)
-		stripValues(query, key)
+	for name, list := range h {
+		if isKept(keys, name, list) {
+			continue
+		}
+		delete(h, name)
 	}
 	if u.RawQuery != "" {
-		u.RawQuery = query.Encode()
+		u.RawQuery = stripQuery(u.RawQuery, keys)
 	}
 }
 
-func stripValues(values map[string][]string, key string) {
-	for name, list := range values {
-		for _, v := range list {
-			if strings.Contains(v, key) {
-				delete(values, name)
-				break
-			}
+func isKept(keys []string, name string, list []string) bool {
+	if holdsKey(name, keys) {
+		return false
+	}
+	for _, v := range list {
+		if holdsKey(v, keys) {
+			return false
+		}
+	}
+	return true
+}
+
+// holdsKey reports whether a text holds a key, as it stands or escaped as in a
+// URL. Case does not count, as header names have none.
+func holdsKey(text string, keys []string) bool {
+	for _, key := range keys {
+		if containsFold(text, key) {
+			return true
+		}
+		if !strings.ContainsAny(text, "%+") {
+			continue
+		}
+		if plain, err := url.QueryUnescape(text); err == nil && containsFold(plain, key) {
+			return true
+		}
+		if plain, err := url.PathUnescape(text); err == nil && containsFold(plain, key) {
+			return true
 		}
 	}
+	return false
+}
+
+func containsFold(text, key string) bool {
+	for i := 0; i+len(key) <= len(text); i++ {
+		if strings.EqualFold(text[i:i+len(key)], key) {
+			return true
+		}
+	}
+	return false
+}
+
+// stripQuery drops the parameters named key, and those that hold a key. The
+// others stay as they were written.
+func stripQuery(query string, keys []string) string {
+	var kept []string
+	for pair := range strings.SplitSeq(query, "&") {
+		if !isKeyParameter(pair) && !holdsKey(pair, keys) {
+			kept = append(kept, pair)
+		}
+	}
+	return strings.Join(kept, "&")
+}
+
+func isKeyParameter(pair string) bool {
+	for part := range strings.SplitSeq(pair, ";") {
+		name, _, _ := strings.Cut(part, "=")
+		if plain, err := url.QueryUnescape(name); err == nil {
+			name = plain
+		}
+		if strings.EqualFold(name, "key") {
+			return true
+		}
+	}
+	return false
 }
 
 func stripCookie(h http.Header) {
-	cookies := (&http.Request{Header: h}).Cookies()
-	if len(cookies) == 0 {
+	if len(h["Cookie"]) == 0 {
 		return
 	}
+	cookies := (&http.Request{Header: h}).Cookies()
 	h.Del("Cookie")
 	for _, c := range cookies {
 		if !strings.EqualFold(c.Name, "key") {
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -23,12 +23,18 @@
 	headerDeadline = "Deadline"
 	// headerRefusal marks an answer as a daemon's refusal, with its reason.
 	headerRefusal = "Refusal"
+	// headerUnspent carries the retries that an attempt did not spend, back to
+	// the daemon that made it.
+	headerUnspent = "Unspent"
+	// headerRequest carries a request's id back to its caller.
+	headerRequest = "Request"
 	// headerKey carries a key, as an alternative to Authorization.
 	headerKey = "Key"
 )
 
-// writeRefusal answers a request with a refusal in JSON.
-func writeRefusal(w http.ResponseWriter, r *model.Refusal) {
+// writeRefusal answers a request with a refusal in JSON. more adds headers; it
+// may be nil.
+func writeRefusal(w http.ResponseWriter, r *model.Refusal, more func(http.Header)) {
 	body, _ := json.Marshal(&struct {
 		Reason string `json:"reason"`
 		Run    string `json:"run"`
@@ -41,6 +47,9 @@
 	if r.Wait() > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.Wait().Seconds()))))
 	}
+	if more != nil {
+		more(h)
+	}
 	w.WriteHeader(statusOf(r.Reason()))
 	_, _ = w.Write(body)
 }
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -11,6 +11,7 @@
 
 	"anvilstand/core/admit"
 	"anvilstand/core/model"
+	"anvilstand/core/trace"
 	"anvilstand/io/codec"
 )
 
@@ -18,18 +19,38 @@
 func (f *Front) Peers() http.Handler { return http.HandlerFunc(f.servePeer) }
 
 func (f *Front) servePeer(w http.ResponseWriter, r *http.Request) {
+	f.work.begin()
+	defer f.work.end()
 	call, err := f.acceptPeer(r)
-	if err == nil {
-		err = f.relay(w, r, call)
+	if err != nil {
+		writeRefusal(w, refusalOf(err), nil)
+		return
+	}
+	ctx, l := newLimit(r.Context(), call.Left(), f.prefs.Stall(), false)
+	defer l.end()
+	var b *beater
+	if r.Header.Get("Expect") == "" {
+		b = startBeat(w)
+		defer b.end()
 	}
+	from, unspent, err := f.perform(ctx, call, inbound(ctx, r))
+	b.end()
 	if err != nil {
-		writeRefusal(w, refusalOf(err))
+		f.note(call, trace.NewRefused(refusalOf(err)))
+		writeRefusal(w, refusalOf(err), func(h http.Header) { h.Set(headerUnspent, strconv.Itoa(unspent)) })
+		return
+	}
+	defer from.Body.Close()
+	from.Header.Set(headerUnspent, strconv.Itoa(unspent))
+	f.note(call, trace.NewAnswered(from.StatusCode))
+	if err := answer(w, from, l); err != nil {
+		f.note(call, trace.Cut{})
+		abort(w)
 	}
 }
 
 func (f *Front) acceptPeer(r *http.Request) (model.Call, error) {
-	shown := []byte(r.Header.Get("Authorization"))
-	if subtle.ConstantTimeCompare(shown, []byte("Bearer "+f.prefs.Secret())) != 1 {
+	if !f.isPeer(r) {
 		return model.Call{}, model.Refuse(model.BadKey{}, 0)
 	}
 	call, err := codec.DecodeCall(r.Header.Get(headerCall))
@@ -39,28 +60,71 @@
 	return call, nil
 }
 
-// relay admits a call, runs it at the target and passes the answer back.
-func (f *Front) relay(w http.ResponseWriter, r *http.Request, call model.Call) error {
-	ctx, cancel := context.WithTimeout(r.Context(), call.Left())
-	defer cancel()
-	id, err := f.gate.enter(ctx, call)
-	if err != nil {
-		return err
+// isPeer reports whether a request comes from another daemon.
+func (f *Front) isPeer(r *http.Request) bool {
+	return subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(f.secret)) == 1
+}
+
+// inbound returns a peer's request as it goes to the target.
+func inbound(ctx context.Context, r *http.Request) *http.Request {
+	out := (&http.Request{
+		Method: r.Method,
+		URL:    &url.URL{Opaque: strings.TrimPrefix(r.URL.EscapedPath(), "/relay"), RawQuery: r.URL.RawQuery},
+		Header: make(http.Header, len(r.Header)+headersAdded),
+	}).WithContext(ctx)
+	copyHeader(out.Header, r.Header)
+	delete(out.Header, "Authorization")
+	delete(out.Header, headerCall)
+	out.Body, out.ContentLength = &body{from: r.Body}, r.ContentLength
+	return out
+}
+
+// visit is a request at the target beside this daemon.
+type visit struct {
+	front   *Front
+	ticket  uint64
+	token   string
+	outcome admit.Outcome
+}
+
+// end gives the target's slot back and returns the retries not spent.
+func (v *visit) end() int {
+	v.front.gate.finish(v.ticket, v.outcome)
+	return v.front.running.end(v.token)
+}
+
+// run admits a call, and sends its request to the target. It also returns the
+// retries that were not spent.
+func (f *Front) run(ctx context.Context, call model.Call, out *http.Request) (*http.Response, int, error) {
+	if err := f.drain.check(); err != nil {
+		return nil, call.Budget(), err
 	}
-	outcome := admit.Outcome(admit.Failed{})
-	defer func() { f.gate.finish(id, outcome) }()
 	began := time.Now()
-	token := f.running.begin(call)
-	defer f.running.end(token)
-	from, err := send(f.target, f.targetRequest(ctx, r, token))
+	ticket, err := f.gate.enter(ctx, call)
 	if err != nil {
-		return err
+		return nil, call.Budget(), err
 	}
-	defer from.Body.Close()
-	from.Header.Del(headerRefusal)
-	outcome = outcomeOf(from, time.Since(began))
-	answer(w, from)
-	return nil
+	f.note(call, trace.NewAdmitted(time.Since(began)))
+	if err := granted(f.loop.View().Config(), call); err != nil {
+		f.gate.finish(ticket, admit.Abandoned{})
+		return nil, call.Budget(), err
+	}
+	call = call.WithLeft(call.Left() - time.Since(began))
+	v := &visit{front: f, ticket: ticket, token: f.running.begin(call), outcome: admit.Failed{}}
+	f.address(out, call, v.token)
+	sent, at := time.Now(), f.clock.Now()
+	from, err := send(f.targetFor(out.Method), out, nil)
+	if err != nil {
+		if ctx.Err() != nil {
+			v.outcome = admit.Abandoned{}
+		}
+		return nil, v.end(), err
+	}
+	f.drain.note(from.Header, at)
+	dropOwn(from)
+	v.outcome = outcomeOf(from, time.Since(sent))
+	from.Body = &closing{ReadCloser: from.Body, done: func() { v.end() }}
+	return from, f.running.settle(v.token), nil
 }
 
 func outcomeOf(from *http.Response, took time.Duration) admit.Outcome {
@@ -70,20 +134,20 @@
 	return admit.NewServed(took)
 }
 
-func (f *Front) targetRequest(ctx context.Context, r *http.Request, token string) *http.Request {
-	base, _ := url.Parse(f.prefs.Target())
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/relay")
-	out := (&http.Request{
-		Method: r.Method,
-		URL:    &url.URL{Scheme: base.Scheme, Host: base.Host, Opaque: "//" + base.Host + path, RawQuery: r.URL.RawQuery},
-		Header: http.Header{},
-	}).WithContext(ctx)
-	copyHeader(out.Header, r.Header)
-	out.Header.Del("Authorization")
+// address completes a request to the target: where it goes, the time it has,
+// and the token for calls on its behalf.
+func (f *Front) address(out *http.Request, call model.Call, token string) {
+	path := out.URL.Opaque
+	out.URL.Scheme, out.URL.Host = f.base.Scheme, f.base.Host
+	out.URL.Opaque = "//" + f.base.Host + path
+	out.Header.Del("Expect")
 	out.Header.Set(headerCall, token)
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(headerDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	out.Header.Set(headerDeadline, strconv.FormatInt(max(0, call.Left().Milliseconds()), 10))
+}
+
+func (f *Front) targetFor(method string) http.RoundTripper {
+	if method == http.MethodGet || method == http.MethodHead {
+		return f.target
 	}
-	out.Body, out.ContentLength = &body{from: r.Body}, r.ContentLength
-	return out
+	return f.freshTarget
 }
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -10,6 +10,7 @@
 
 	"anvilstand/core/model"
 	"anvilstand/core/query"
+	"anvilstand/core/retry"
 )
 
 // Meter counts what a daemon does.
@@ -17,6 +18,7 @@
 	registry *prometheus.Registry
 	served   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	denied   *prometheus.CounterVec
 	retried  *prometheus.CounterVec
 	mu       sync.Mutex
 	counts   map[model.Org]*tally
@@ -34,9 +36,10 @@
 		served:   counter("served_total", "Whole answers given, by organisation and service.", "org", "service"),
 		refused:  counter("refused_total", "Requests refused, by organisation and reason.", "org", "reason"),
 		retried:  counter("retried_total", "Attempts repeated, by service and reason.", "service", "reason"),
+		denied:   counter("unretried_total", "Attempts not repeated although their reason would allow it, by service and cause.", "service", "cause"),
 		counts:   map[model.Org]*tally{},
 	}
-	m.registry.MustRegister(m.served, m.refused, m.retried)
+	m.registry.MustRegister(m.served, m.refused, m.retried, m.denied)
 	for _, r := range model.Reasons() {
 		m.refused.WithLabelValues("", model.ReasonName(r))
 	}
@@ -74,6 +77,11 @@
 	m.retried.WithLabelValues(string(service), model.RetryName(r)).Inc()
 }
 
+// Deny counts a retry that was not made.
+func (m *Meter) Deny(service model.Service, why retry.Denied) {
+	m.denied.WithLabelValues(string(service), retry.DeniedName(why)).Inc()
+}
+
 // Count returns what was counted for an organisation.
 func (m *Meter) Count(org model.Org) query.Count {
 	m.mu.Lock()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -31,11 +31,12 @@
 	loop  *ctrl.Loop
 	store store.Store
 	meter *meter.Meter
+	trace func(model.Request) []string
 }
 
 // New returns the operators' side of a daemon.
-func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter) *Oper {
-	return &Oper{prefs: p, loop: l, store: s, meter: m}
+func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter, trace func(model.Request) []string) *Oper {
+	return &Oper{prefs: p, loop: l, store: s, meter: m, trace: trace}
 }
 
 // Handler serves the operators.
@@ -149,7 +150,7 @@
 		writeResult(w, http.StatusBadRequest, 0, err.Error())
 		return
 	}
-	table := query.Answer(source{view: o.loop.View(), meter: o.meter}, q)
+	table := query.Answer(source{view: o.loop.View(), meter: o.meter, trace: o.trace}, q)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(&struct {
 		Columns []string   `json:"columns"`
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -13,6 +13,7 @@
 type source struct {
 	view  *ctrl.View
 	meter *meter.Meter
+	trace func(model.Request) []string
 }
 
 // Config returns the configuration in force here.
@@ -24,5 +25,5 @@
 // Served returns what was served and refused here.
 func (s source) Served(org model.Org) query.Count { return s.meter.Count(org) }
 
-// Trace returns nothing yet: requests are not recorded.
-func (s source) Trace(model.Request) []string { return nil }
+// Trace returns what was decided here about a request.
+func (s source) Trace(id model.Request) []string { return s.trace(id) }
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -49,7 +49,7 @@
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body", "cert", "key", "authority",
+	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "cert", "key", "authority",
 }
 
 func unknownFields(text []byte) Faults {
@@ -123,6 +123,9 @@
 	const seconds = "seconds, above 0 and up to 3600"
 	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
+	need(p.stall > 0 && p.stall.Seconds() <= maxTime, "stall", seconds)
+	need(p.window > 0 && p.window.Seconds() <= maxTime, "window", seconds)
+	need(p.settle >= 0 && p.settle < p.grace, "settle", "seconds, 0 or more and less than grace")
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
 	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -28,6 +28,9 @@
 	grace     time.Duration
 	budget    int
 	maxBody   int64
+	stall     time.Duration
+	window    time.Duration
+	settle    time.Duration
 	cert      string
 	certKey   string
 	authority string
@@ -75,6 +78,16 @@
 // MaxBody returns the largest request body, in bytes.
 func (p *Prefs) MaxBody() int64 { return p.maxBody }
 
+// Stall returns how long a caller or an answer may make no progress.
+func (p *Prefs) Stall() time.Duration { return p.stall }
+
+// Window returns how long an idempotency key is remembered.
+func (p *Prefs) Window() time.Duration { return p.window }
+
+// Settle returns how long a planned stop still takes new work, until the other
+// daemons know of it.
+func (p *Prefs) Settle() time.Duration { return p.settle }
+
 // Secured reports whether the listeners and links use TLS.
 func (p *Prefs) Secured() bool { return p.cert != "" }
 
@@ -86,6 +99,9 @@
 const (
 	defaultDeadline = 5 * time.Second
 	defaultGrace    = 30 * time.Second
+	defaultStall    = 30 * time.Second
+	defaultWindow   = time.Minute
+	defaultSettle   = 3 * time.Second
 	defaultBudget   = 3
 	defaultMaxBody  = 64 << 20
 )
@@ -103,6 +119,7 @@
 		Store, Secret             string
 		Operators                 map[string]string
 		Deadline, Grace           *float64
+		Stall, Window, Settle     *float64
 		Budget                    *int
 		Body                      *int64
 		Cert, Key, Authority      string
@@ -116,6 +133,7 @@
 		operators: w.Operators,
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
+		stall: seconds(w.Stall, defaultStall), window: seconds(w.Window, defaultWindow), settle: seconds(w.Settle, defaultSettle),
 		cert: w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
