--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	service model.Service
 	address string
 	leaving bool
+	born    model.Incarnation
 }
 
 // NewMember returns a member that listens for its peers at address.
@@ -33,14 +34,27 @@
 // Leaving reports whether the member is in its planned stop.
 func (m Member) Leaving() bool { return m.leaving }
 
+// Incarnation returns the process that announced the member.
+func (m Member) Incarnation() model.Incarnation { return m.born }
+
+// WithIncarnation returns the member as announced by a process.
+func (m Member) WithIncarnation(i model.Incarnation) Member {
+	m.born = i
+	return m
+}
+
 // AsLeaving returns the member marked as leaving.
 func (m Member) AsLeaving() Member {
 	m.leaving = true
 	return m
 }
 
-// Roster is the set of members known, by failure domain. The zero value is
-// empty. A Roster is not safe for concurrent use; Members returns a copy.
+// Roster is the set of members known, a roll a failure domain. The zero value
+// is empty. A Roster is not safe for concurrent use; Members returns a copy.
 type Roster struct {
-	domains map[model.Domain][]Member
+	rolls map[model.Domain]Roll
+	names map[model.Instance]Member
+	dead  map[model.Incarnation]bool
+	order map[model.Domain][]Member
+	count uint64
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -10,11 +10,13 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/front"
 	"anvilstand/io/link"
@@ -51,8 +53,9 @@
 		return nil, err
 	}
 	m := meter.New()
-	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String())
-	d.loop = ctrl.New(d.self)
+	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
+	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
+	d.loop.SetHold(p.Hold())
 	d.front = front.New(p, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, s, m, d.front.Trace)
 	return d, nil
@@ -79,7 +82,7 @@
 			d.closeListeners()
 			return errors.Wrapf(err, "listen for %s at %s", name, addresses[name])
 		}
-		d.lns = append(d.lns, ln)
+		d.lns = append(d.lns, netutil.LimitListener(ln, d.prefs.Conns()))
 	}
 	return nil
 }
@@ -101,7 +104,7 @@
 
 // Run serves until ctx ends, then makes a planned stop: it announces that it
 // leaves, refuses new work, finishes what runs, and returns.
-func (d *Daemon) Run(ctx context.Context, domains []model.Domain) error {
+func (d *Daemon) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -109,16 +112,10 @@
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.lns[i]) })
 	}
-	links := link.New(work, g, d.peer, d.self.Name(), d.prefs.Secret(), d.log)
+	links := link.New(work, g, d.peer, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
-	g.Go(func() error { return watch.Config(work, d.store, d.loop) })
-	for _, name := range domains {
-		g.Go(func() error { return watch.Members(work, d.store, d.loop, name) })
-	}
-	g.Go(func() error {
-		_ = watch.Announce(ctx, d.store, d.self)
-		return nil
-	})
+	g.Go(func() error { return watch.Follow(work, d.store, d.loop, len(d.prefs.Seeds()) > 0) })
+	g.Go(func() error { return watch.Shares(work, d.store, d.loop) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -138,9 +135,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
-	retire, done := context.WithTimeout(ctx, retireTimeout)
-	_ = watch.Retire(retire, d.store, d.self)
-	done()
+	d.awaitRecord(ctx)
+	d.awaitTitles(ctx)
 	settle(ctx, d.prefs.Settle())
 	cut := d.front.Close(ctx)
 	for _, s := range servers {
@@ -161,12 +157,39 @@
 	}
 }
 
+// awaitRecord waits for the record to say that this daemon leaves, if there is
+// another to write it.
+func (d *Daemon) awaitRecord(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, retireTimeout)
+	defer done()
+	_ = d.loop.Await(ctx, func(v *ctrl.View) bool {
+		others := false
+		for _, m := range v.Members() {
+			if m == v.Self() {
+				return true
+			}
+			others = others || (m.Domain() == v.Self().Domain() && m.Name() != v.Self().Name() && !m.Leaving())
+		}
+		return !others
+	})
+}
+
+// awaitTitles waits until the titles are resigned, so that others take them
+// over at once.
+func (d *Daemon) awaitTitles(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, resignTimeout)
+	defer done()
+	_ = d.loop.Await(ctx, func(v *ctrl.View) bool { return v.Titles() == 0 })
+}
+
 // Bounds of the listeners.
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
-	retireTimeout = 2 * time.Second
+	retireTimeout = time.Second
+	// resignTimeout bounds the wait for the titles of shares to be resigned.
+	resignTimeout = 2 * time.Second
 )
 
 // servers returns the servers of the listeners. Their requests end with ctx.
@@ -190,7 +213,7 @@
 // messages at /link.
 func (d *Daemon) peers() http.Handler {
 	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	m.Handle("/link", link.Accept(d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
+	m.Handle("/link", link.Accept(d.self.Incarnation(), d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
 		return d.loop.Tell(ctx, ctrl.NewHeard(p))
 	}))
 	m.Handle("/claim", d.front.Claims())
--- /dev/null
+++ b/io/daemon/once_test.go
@@ -0,0 +1,80 @@
+package daemon_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+)
+
+func TestIdempotencyKeys(t *testing.T) {
+	r := newRig(t)
+	entries := []*unit{r.add("entry-north-1", nothing(), ""), r.add("entry-south-1", nothing(), "")}
+	var mu sync.Mutex
+	ran := map[string]int{}
+	var dies atomic.Bool
+	target := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		ran[q.Header.Get("Idempotency-Key")]++
+		mu.Unlock()
+		if dies.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		text, _ := io.ReadAll(q.Body)
+		w.Header().Set("Order", "7")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "done %s", text)
+	})
+	for _, name := range []string{"stock-north-1", "stock-south-1", "stock-north-2"} {
+		r.add(name, target, `, "window": 0.5`)
+	}
+	r.configure(entries[0])
+	time.Sleep(600 * time.Millisecond)
+	post := func(entry int, key string) (int, string) {
+		w, text, err := entries[entry].do(t.Context(), http.MethodPost, "/stock/orders", strings.NewReader("x"), "Idempotency-Key", key)
+		if err != nil {
+			return 0, err.Error()
+		}
+		return w.StatusCode, text
+	}
+	for i := range 10 {
+		key := fmt.Sprint("first-", i)
+		for entry := range entries {
+			if status, text := post(entry, key); status != http.StatusCreated || text != "done x" {
+				t.Error(status, text)
+			}
+		}
+		if diff := cmp.Diff(1, ran[key]); diff != "" {
+			t.Error(key, diff)
+		}
+	}
+	var g errgroup.Group
+	for i := range 60 {
+		g.Go(func() error {
+			post(i%2, fmt.Sprint("race-", i/6))
+			return nil
+		})
+	}
+	_ = g.Wait()
+	dies.Store(true)
+	for i := range 5 {
+		for entry := range entries {
+			status, text := post(entry, fmt.Sprint("dies-", i))
+			if status < http.StatusBadRequest || !strings.Contains(text, `"run":"unknown"`) {
+				t.Error(status, text)
+			}
+		}
+	}
+	for key, n := range ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
--- a/io/front/copy.go
+++ b/io/front/copy.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -44,7 +43,7 @@
 }
 
 // answer passes an answer on. An error means that it broke off: abort then
-// resets the connection, so that its reader does not take a part for the whole.
+// closes the connection, so that its reader does not take a part for the whole.
 func answer(w http.ResponseWriter, from *http.Response, l *limit) error {
 	l.moved()
 	copyHeader(w.Header(), from.Header)
@@ -65,23 +64,8 @@
 	return nil
 }
 
-// abort cuts off an answer that has begun. It resets the connection, as a
-// caller that reads until the end of the connection would take an ordinary end
-// for the end of the answer.
-func abort(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	raw := conn
-	if under, ok := raw.(interface{ NetConn() net.Conn }); ok {
-		raw = under.NetConn()
-	}
-	if tcp, ok := raw.(interface{ SetLinger(int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = raw.Close()
-}
+// abort cuts off the connection of an answer that has begun.
+func abort() { panic(http.ErrAbortHandler) }
 
 // body is a request's body that the transport takes for one that cannot be
 // sent again, so that it never sends a request twice by itself.
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -57,7 +58,7 @@
 	case began:
 		f.meter.Refuse(j.call.Org(), refusalOf(err).Reason())
 		f.note(j.call, trace.Cut{})
-		abort(w)
+		abort()
 	default:
 		f.refuse(w, j, refusalOf(err))
 	}
@@ -88,6 +89,10 @@
 	if f.refusing.Load() && token == "" {
 		return j, model.Refuse(model.Leaving{}, 0)
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 does not tell an answer that breaks off from a whole one.
+		return j, model.Refuse(model.BadRequest{}, 0)
+	}
 	if r.ContentLength > f.prefs.MaxBody() {
 		return j, model.Refuse(model.TooLarge{}, 0)
 	}
@@ -114,7 +119,7 @@
 	if token != "" {
 		return f.acceptChild(j, token, left)
 	}
-	return f.acceptRoot(j, left)
+	return f.acceptRoot(r.Context(), j, left)
 }
 
 func (j *job) match(r *http.Request) error {
@@ -142,7 +147,7 @@
 	return granted(j.view.Config(), j.call)
 }
 
-func (f *Front) acceptRoot(j *job, left time.Duration) error {
+func (f *Front) acceptRoot(ctx context.Context, j *job, left time.Duration) error {
 	org, tag, err := j.holder()
 	if err != nil {
 		return err
@@ -154,7 +159,10 @@
 		return nil
 	}
 	j.call = j.call.WithKey(tag, j.view.Config().Revision())
-	return f.purse.spend(j.view, org)
+	if err := f.purse.spend(ctx, org); err != nil {
+		return err
+	}
+	return granted(f.loop.View().Config(), j.call)
 }
 
 func (j *job) holder() (model.Org, string, error) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -59,7 +59,7 @@
 		secret: bearer + p.Secret(),
 		base:   base,
 		gate:   gate{clock: c},
-		purse:  purse{clock: c},
+		purse:  purse{tokens: l.Purse()},
 		drain:  drain{clock: c},
 		picker: picker{rnd: newRand()},
 		rnd:    newRand(),
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -45,7 +45,7 @@
 	f.note(call, trace.NewAnswered(from.StatusCode))
 	if err := answer(w, from, l); err != nil {
 		f.note(call, trace.Cut{})
-		abort(w)
+		abort()
 	}
 }
 
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -49,7 +49,8 @@
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "cert", "key", "authority",
+	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "conns", "cert", "key", "authority",
+	"seeds", "isolation", "hold",
 }
 
 func unknownFields(text []byte) Faults {
@@ -122,12 +123,16 @@
 	}
 	const seconds = "seconds, above 0 and up to 3600"
 	need(p.deadline > 0 && p.deadline.Seconds() <= maxTime, "deadline", seconds)
+	need(p.hold > 0 && p.hold.Seconds() <= maxTime, "hold", seconds)
+	need(p.isolation > 0 && p.isolation.Seconds() <= maxTime, "isolation", seconds)
+	need(!slices.ContainsFunc(p.seeds, isNoAddress), "seeds", "a list of addresses as host:port with an IP number")
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
 	need(p.stall > 0 && p.stall.Seconds() <= maxTime, "stall", seconds)
 	need(p.window > 0 && p.window.Seconds() <= maxTime, "window", seconds)
 	need(p.settle >= 0 && p.settle < p.grace, "settle", "seconds, 0 or more and less than grace")
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
+	need(p.conns > 0, "conns", "connections, above 0")
 	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
 	need(whole, "cert", "cert, key and authority are set together or not at all")
 	return faults
@@ -138,6 +143,8 @@
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
+func isNoAddress(s string) bool { return !isAddress(s) }
+
 func isBase(s string) bool {
 	u, err := url.Parse(s)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -31,11 +31,23 @@
 	stall     time.Duration
 	window    time.Duration
 	settle    time.Duration
+	conns     int
 	cert      string
 	certKey   string
 	authority string
+	seeds     []string
+	isolation time.Duration
+	hold      time.Duration
 }
 
+// Seeds returns addresses of other daemons, of the own and of other failure
+// domains, to ask for the fleet when the store is away.
+func (p *Prefs) Seeds() []string { return p.seeds }
+
+// Isolation returns how long the failure domain may hear from neither the store
+// nor another domain before it counts as cut off.
+func (p *Prefs) Isolation() time.Duration { return p.isolation }
+
 // Name returns the instance's name.
 func (p *Prefs) Name() model.Instance { return p.name }
 
@@ -69,6 +81,9 @@
 // Deadline returns the time that a request has when its caller sets none.
 func (p *Prefs) Deadline() time.Duration { return p.deadline }
 
+// Hold returns how long the titles of shares last without contact to the store.
+func (p *Prefs) Hold() time.Duration { return p.hold }
+
 // Grace returns the bound of a planned stop.
 func (p *Prefs) Grace() time.Duration { return p.grace }
 
@@ -88,6 +103,9 @@
 // daemons know of it.
 func (p *Prefs) Settle() time.Duration { return p.settle }
 
+// Conns returns how many connections each listener holds open.
+func (p *Prefs) Conns() int { return p.conns }
+
 // Secured reports whether the listeners and links use TLS.
 func (p *Prefs) Secured() bool { return p.cert != "" }
 
@@ -97,13 +115,16 @@
 
 // Defaults of the settings that may be left out.
 const (
-	defaultDeadline = 5 * time.Second
-	defaultGrace    = 30 * time.Second
-	defaultStall    = 30 * time.Second
-	defaultWindow   = time.Minute
-	defaultSettle   = 3 * time.Second
-	defaultBudget   = 3
-	defaultMaxBody  = 64 << 20
+	defaultStall     = 30 * time.Second
+	defaultWindow    = time.Minute
+	defaultSettle    = 3 * time.Second
+	defaultDeadline  = 5 * time.Second
+	defaultGrace     = 30 * time.Second
+	defaultHold      = time.Hour
+	defaultIsolation = 30 * time.Second
+	defaultBudget    = 3
+	defaultMaxBody   = 64 << 20
+	defaultConns     = 4096
 )
 
 // Parse reads and checks settings. An error is Faults when the form was read.
@@ -118,11 +139,13 @@
 		Front, Peer, Oper, Target string
 		Store, Secret             string
 		Operators                 map[string]string
-		Deadline, Grace           *float64
 		Stall, Window, Settle     *float64
-		Budget                    *int
+		Deadline, Grace, Hold     *float64
+		Budget, Conns             *int
 		Body                      *int64
 		Cert, Key, Authority      string
+		Seeds                     []string
+		Isolation                 *float64
 	}
 	if err := json.Unmarshal(plain, &w); err != nil {
 		faults = append(faults, typeFault(text, err))
@@ -134,7 +157,10 @@
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
 		stall: seconds(w.Stall, defaultStall), window: seconds(w.Window, defaultWindow), settle: seconds(w.Settle, defaultSettle),
-		cert: w.Cert, certKey: w.Key, authority: w.Authority,
+		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
+		hold:  seconds(w.Hold, defaultHold),
+		conns: or(w.Conns, defaultConns),
+		cert:  w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
 		return nil, faults
