A planned stop cuts no request; a target that drains gets no new work

Cause: a stop closed pooled connections on which other daemons were sending; their requests ended as broken, run unknown. Change: answers of a leaving daemon say so and close their connection; the other daemons set it aside at once, before the membership tells them.

--- /dev/null
+++ b/io/daemon/stop_test.go
@@ -0,0 +1,176 @@
+package daemon_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/model"
+)
+
+// stops is how many planned stops TestPlannedStops makes, each under load.
+var stops = flag.Int("stops", 4, "planned stops under load")
+
+// load counts how requests end for their callers.
+type load struct {
+	mu    sync.Mutex
+	rig   *rig
+	whole int
+	cut   []string
+	next  atomic.Uint64
+}
+
+// send sends one request to one of the callers' daemons, which need not live.
+func (l *load) send(client *http.Client, addresses []string) {
+	n := l.next.Add(1)
+	address := addresses[n%uint64(len(addresses))]
+	text := fmt.Sprint("body ", n)
+	q, err := http.NewRequest(http.MethodPost, "http://"+address+"/stock/orders", strings.NewReader(text))
+	if err != nil {
+		return
+	}
+	q.GetBody = nil
+	q.Header.Set("Key", orgKey)
+	w, err := client.Do(q)
+	if err != nil {
+		l.end(err, "")
+		return
+	}
+	defer w.Body.Close()
+	got, err := io.ReadAll(w.Body)
+	switch {
+	case err != nil:
+		l.end(err, "")
+	case w.StatusCode == http.StatusOK && string(got) != text:
+		l.end(errors.New("another answer"), string(got))
+	case w.StatusCode != http.StatusOK && !strings.Contains(string(got), `"run":"not"`):
+		l.end(errors.New("not a refusal of what did not run"), string(got))
+	default:
+		l.end(nil, "")
+	}
+}
+
+// end notes how a request ended. A connection that is refused is no cut.
+func (l *load) end(err error, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.whole++
+	} else if !errors.Is(err, syscall.ECONNREFUSED) {
+		l.cut = append(l.cut, err.Error()+text)
+	}
+}
+
+// TestPlannedStops stops daemons under load, each beside a target that runs
+// requests of its own and of others, and starts new ones in their place.
+func TestPlannedStops(t *testing.T) {
+	r := newRig(t)
+	target := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		text, _ := io.ReadAll(q.Body)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = w.Write(text[:1])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+		_, _ = w.Write(text[1:])
+	})
+	const more = `, "settle": 0.2, "grace": 20`
+	units := []*unit{r.add("stock-north-0", target, more), r.add("stock-north-1", target, more), r.add("stock-north-2", target, more)}
+	r.configure(units[0])
+	l := &load{rig: r}
+	for i := range *stops {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := &errgroup.Group{}
+		addresses := []string{units[0].FrontAddress(), units[1].FrontAddress(), units[2].FrontAddress()}
+		for range 12 {
+			client := &http.Client{Transport: &http.Transport{}}
+			g.Go(func() error {
+				defer client.CloseIdleConnections()
+				for ctx.Err() == nil {
+					l.send(client, addresses)
+				}
+				return nil
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		old := units[i%3]
+		old.stop()
+		<-old.done
+		cancel()
+		_ = g.Wait()
+		delete(r.all, string(old.Loop().View().Self().Name()))
+		name := fmt.Sprintf("stock-north-%d", i+3)
+		units[i%3] = r.add(name, target, more)
+		r.await(func(u *unit) bool { return serving(u, r) && u.warm() })
+	}
+	t.Logf("%d stops, %d whole answers or true refusals, %d cut", *stops, l.whole, len(l.cut))
+	if len(l.cut) > 0 || l.whole == 0 {
+		t.Error(len(l.cut), l.cut[:min(5, len(l.cut))])
+	}
+}
+
+// serving reports whether a daemon knows all daemons of the rig.
+func serving(u *unit, r *rig) bool {
+	known := map[model.Instance]bool{}
+	for _, m := range u.Loop().View().Serving("stock") {
+		known[m.Name()] = true
+	}
+	for name := range r.all {
+		if !known[model.Instance(name)] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestTargetThatDrainsGetsNoNewWork(t *testing.T) {
+	r := newRig(t)
+	entry := r.add("entry-north-1", nothing(), "")
+	var drains atomic.Bool
+	var before, after atomic.Int32
+	r.add("stock-north-1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if drains.Load() {
+			after.Add(1)
+			w.Header().Set("Drain", "true")
+			return
+		}
+		before.Add(1)
+	}), "")
+	r.add("stock-north-2", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), "")
+	r.configure(entry)
+	for range 60 {
+		if w, text, err := entry.do(t.Context(), http.MethodPost, "/stock/orders", nil); err != nil || w.StatusCode != http.StatusOK {
+			t.Fatal(text, err)
+		}
+	}
+	drains.Store(true)
+	refused := 0
+	for range 40 {
+		w, text, err := entry.do(t.Context(), http.MethodPost, "/stock/orders", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if w.StatusCode != http.StatusOK {
+			refused++
+			if !strings.Contains(text, `"reason":"leaving","run":"not"`) {
+				t.Error(text)
+			}
+			if w.Header.Get("Drain") != "" {
+				t.Error("the caller saw the target's header")
+			}
+		}
+	}
+	if before.Load() == 0 || after.Load() != 1 {
+		t.Errorf("%d requests before, %d while it drains, %d refused", before.Load(), after.Load(), refused)
+	}
+}
--- /dev/null
+++ b/io/front/aside.go
@@ -0,0 +1,51 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+)
+
+// asideTime is how long a daemon that said that it leaves gets no new work from
+// here. By then the membership says so.
+const asideTime = 10 * time.Second
+
+// aside are the daemons that said on an answer that they leave. The zero value
+// holds none.
+type aside struct {
+	mu    sync.Mutex
+	until map[model.Instance]model.Instant
+}
+
+func (a *aside) put(now model.Instant, name model.Instance) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.until == nil {
+		a.until = map[model.Instance]model.Instant{}
+	}
+	a.until[name] = now.Add(asideTime)
+}
+
+// mark notes the members that are set aside as tried, unless all of them are.
+func (a *aside) mark(now model.Instant, members []fleet.Member, tried map[model.Instance]bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, until := range a.until {
+		if !now.Before(until) {
+			delete(a.until, name)
+		}
+	}
+	if len(a.until) == 0 {
+		return
+	}
+	for _, m := range members {
+		if _, ok := a.until[m.Name()]; ok {
+			tried[m.Name()] = true
+		}
+	}
+	if len(tried) == len(members) {
+		clear(tried)
+	}
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -23,7 +23,7 @@
 	if !ok {
 		return nil, model.Refuse(model.NoTarget{}, 0)
 	}
-	t.tried[m.Name()] = true
+	t.tried[m.Name()], t.began = true, true
 	f.note(j.call, trace.NewPicked(m.Name()))
 	var part retry.Part
 	j.budget.Lend(&part)
@@ -65,6 +65,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if from.Header.Get(headerLeaving) != "" {
+		f.aside.put(f.clock.Now(), m.Name())
+	}
 	unspent, _ := strconv.Atoi(from.Header.Get(headerUnspent))
 	if refusal, is := readRefusal(from); is {
 		_ = from.Body.Close()
--- a/io/front/copy.go
+++ b/io/front/copy.go
@@ -46,7 +46,11 @@
 // closes the connection, so that its reader does not take a part for the whole.
 func answer(w http.ResponseWriter, from *http.Response, l *limit) error {
 	l.moved()
+	last := w.Header().Get("Connection")
 	copyHeader(w.Header(), from.Header)
+	if last != "" {
+		w.Header().Set("Connection", last)
+	}
 	declared := maps.Clone(from.Trailer)
 	for name := range declared {
 		w.Header().Add("Trailer", name)
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -16,6 +16,8 @@
 type tries struct {
 	tried  map[model.Instance]bool
 	rounds int
+	// began reports whether there was a target to try.
+	began bool
 }
 
 // forward sends a request to a target's daemon and passes the answer on. It
@@ -31,6 +33,7 @@
 	defer l.end()
 	f.ratio.fresh(j.call.Org(), j.service)
 	t := &tries{tried: map[model.Instance]bool{}}
+	f.aside.mark(f.clock.Now(), j.view.Serving(j.service), t.tried)
 	for {
 		from, err := f.attempt(ctx, j, p, t)
 		if err == nil {
@@ -56,7 +59,7 @@
 // that is due, and otherwise the refusal for the caller.
 func (f *Front) again(ctx context.Context, j *job, p *parcel, t *tries, err error) error {
 	refusal := refusalOf(err)
-	if len(t.tried) == 0 {
+	if !t.began {
 		return refusal
 	}
 	if fault, is := p.fault(refusal.Run()); is {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -34,6 +34,7 @@
 	notes   notes
 	work    work
 	drain   drain
+	aside   aside
 	rndMu   sync.Mutex
 	rnd     *rand.Rand
 	// peers and target hold the connections of requests that may be sent
--- a/io/front/header.go
+++ b/io/front/header.go
@@ -13,7 +13,7 @@
 }
 
 // ownHeaders are answered by the daemons alone. A target's are dropped.
-var ownHeaders = []string{headerRefusal, headerUnspent, headerCall, headerRequest, headerDrain}
+var ownHeaders = []string{headerRefusal, headerUnspent, headerCall, headerRequest, headerDrain, headerLeaving}
 
 // copyHeader copies the headers that go end to end.
 func copyHeader(to, from http.Header) {
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -28,6 +28,9 @@
 	headerUnspent = "Unspent"
 	// headerRequest carries a request's id back to its caller.
 	headerRequest = "Request"
+	// headerLeaving marks the answers of a daemon in its planned stop, for the
+	// other daemons.
+	headerLeaving = "Leaving"
 	// headerKey carries a key, as an alternative to Authorization.
 	headerKey = "Key"
 )
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -37,11 +37,18 @@
 	b.end()
 	if err != nil {
 		f.note(call, trace.NewRefused(refusalOf(err)))
-		writeRefusal(w, refusalOf(err), func(h http.Header) { h.Set(headerUnspent, strconv.Itoa(unspent)) })
+		writeRefusal(w, refusalOf(err), func(h http.Header) {
+			h.Set(headerUnspent, strconv.Itoa(unspent))
+			f.part(h)
+		})
 		return
 	}
 	defer from.Body.Close()
 	from.Header.Set(headerUnspent, strconv.Itoa(unspent))
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+		from.Header.Set(headerLeaving, "true")
+	}
 	f.note(call, trace.NewAnswered(from.StatusCode))
 	if err := answer(w, from, l); err != nil {
 		f.note(call, trace.Cut{})
@@ -49,6 +56,14 @@
 	}
 }
 
+// part tells a peer that this daemon leaves, if it does.
+func (f *Front) part(h http.Header) {
+	if f.leaving.Load() {
+		h.Set("Connection", "close")
+		h.Set(headerLeaving, "true")
+	}
+}
+
 func (f *Front) acceptPeer(r *http.Request) (model.Call, error) {
 	if !f.isPeer(r) {
 		return model.Call{}, model.Refuse(model.BadKey{}, 0)
