A refusal after an attempt that may have run says unknown

Cause: fault matrix, cells Request/LostAnswer, Answer/Pause, Commit/CutOne and 6 more: the last attempt found no target, or the key was withdrawn, and its 'not run' was given to the caller although an earlier attempt had run. Change: the attempts of a request are reported together.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -18,6 +18,23 @@
 	rounds int
 	// began reports whether there was a target to try.
 	began bool
+	// unknown reports whether an attempt may have run.
+	unknown bool
+}
+
+func (t *tries) take(r *model.Refusal) {
+	if _, may := r.Run().(model.MayHaveRun); may {
+		t.unknown = true
+	}
+}
+
+// report returns the refusal for the caller. A request of which an earlier
+// attempt may have run is not reported as not run.
+func (t *tries) report(r *model.Refusal) *model.Refusal {
+	if t.unknown {
+		return r.WithRun(model.MayHaveRun{})
+	}
+	return r
 }
 
 // forward sends a request to a target's daemon and passes the answer on. It
@@ -40,8 +57,9 @@
 			defer from.Body.Close()
 			return true, f.pass(ctx, w, from, j, l)
 		}
+		t.take(refusalOf(err))
 		if err := f.again(ctx, j, p, t, err); err != nil {
-			return false, err
+			return false, t.report(refusalOf(err))
 		}
 	}
 }
