The process lives on for a second after its last answer

Cause: fault matrix, cells Leave/Reorder and Stop/Delay: an answer on its way was reset when the process ended. Change: a stop ends a second after its last answer, or after settle when that is shorter.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -143,6 +143,7 @@
 		cut = errors.Join(cut, s.Shutdown(ctx))
 		_ = s.Close()
 	}
+	settle(ctx, min(lingerTime, d.prefs.Settle()))
 	d.front.Free()
 	d.log.Info("left", "cut", cut != nil)
 }
@@ -187,6 +188,10 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
+	// lingerTime is how long the process lives on after its last answer, so
+	// that the end of the process does not reset a connection whose caller has
+	// not read it yet.
+	lingerTime    = time.Second
 	retireTimeout = time.Second
 	// resignTimeout bounds the wait for the titles of shares to be resigned.
 	resignTimeout = 2 * time.Second
