--- a/core/retry/query.go
+++ b/core/retry/query.go
@@ -34,12 +34,12 @@
 }
 
 // repeatable reports whether another target, or the same one later, may give
-// another answer.
+// another answer. Shedding holds for the service.
 func repeatable(r model.Reason) bool {
 	switch r.(type) {
-	case model.Shed, model.QueueFull, model.NoTarget, model.Leaving, model.DomainOut, model.Broken:
+	case model.QueueFull, model.NoTarget, model.Leaving, model.DomainOut, model.Broken:
 		return true
-	case model.NoKey, model.BadKey, model.NoRoute, model.BadRequest, model.TooLarge, model.OverRate, model.NoShare,
+	case model.Shed, model.NoKey, model.BadKey, model.NoRoute, model.BadRequest, model.TooLarge, model.OverRate, model.NoShare,
 		model.Late, model.Poison, model.Repeat, model.Spent, model.Isolated, model.Canceled:
 		return false
 	}
--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -17,6 +17,7 @@
 	b = append(append(b, "id="...), c.ID()...)
 	b = append(append(b, "&org="...), url.QueryEscape(string(c.Org()))...)
 	b = strconv.AppendInt(append(b, "&rank="...), int64(c.Rank()), 10)
+	b = strconv.AppendInt(append(b, "&order="...), int64(c.Order()), 10)
 	b = strconv.AppendInt(append(b, "&left="...), c.Left().Microseconds(), 10)
 	b = strconv.AppendInt(append(b, "&budget="...), int64(c.Budget()), 10)
 	if c.Tag() != "" {
@@ -43,15 +44,16 @@
 	}
 	id, org := v.Get("id"), v.Get("org")
 	rank, errRank := strconv.ParseUint(v.Get("rank"), 10, 8)
+	order, errOrder := strconv.ParseUint(v.Get("order"), 10, 8)
 	left, errLeft := strconv.ParseInt(v.Get("left"), 10, 64)
 	budget, errBudget := strconv.ParseUint(v.Get("budget"), 10, 16)
-	bad := errRank != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
+	bad := errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
 	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
 	left = max(0, min(left, maxLeft.Microseconds()))
 	c := model.NewCall(model.Request(id), model.Org(org), model.Rank(rank))
-	c = c.WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget))
+	c = c.WithOrder(model.Order(order)).WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget))
 	return decodeMarks(c, v)
 }
 
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -12,6 +12,7 @@
 	"anvilstand/core/model"
 	"anvilstand/core/once"
 	"anvilstand/core/retry"
+	"anvilstand/core/route"
 	"anvilstand/core/trace"
 	"anvilstand/io/codec"
 )
@@ -19,34 +20,46 @@
 // attempt sends a request to one target's daemon, with a part of the retries.
 // An error is a refusal.
 func (f *Front) attempt(ctx context.Context, j *job, p *parcel, t *tries) (*http.Response, error) {
-	m, ok := f.choose(j, t)
-	if !ok {
-		return nil, model.Refuse(model.NoTarget{}, 0)
+	m, level, err := f.choose(j, t)
+	if err != nil {
+		f.running.note(j.parent, j.service, level)
+		return nil, err
 	}
 	t.tried[m.Name()], t.began = true, true
 	f.note(j.call, trace.NewPicked(m.Name()))
 	var part retry.Part
 	j.budget.Lend(&part)
 	call := j.call.WithLeft(time.Until(j.until)).WithBudget(part.Size())
-	f.picker.add(m.Name(), 1)
 	from, unspent, err := f.reach(ctx, j, p, m, call)
 	j.budget.Return(&part, unspent)
 	if err != nil {
-		f.picker.add(m.Name(), -1)
+		f.picker.finish(m.Name(), endOf(ctx, err))
 		f.note(j.call, trace.NewRefused(refusalOf(err)))
 		return nil, err
 	}
-	from.Body = &closing{ReadCloser: from.Body, done: func() { f.picker.add(m.Name(), -1) }}
+	from.Body = &closing{ReadCloser: from.Body, done: func() { f.picker.finish(m.Name(), route.Answered{}) }}
 	return from, nil
 }
 
 // choose picks a target. A request with an idempotency key has only one.
-func (f *Front) choose(j *job, t *tries) (fleet.Member, bool) {
+func (f *Front) choose(j *job, t *tries) (fleet.Member, model.Place, error) {
 	if j.call.Once() == "" {
-		return f.picker.pick(j.view, j.service, t.tried)
+		return f.picker.pick(*j, t.tried)
 	}
 	home, _ := once.Pair(j.view.Serving(j.service), once.Key(j.call.Once()))
-	return home, home.Name() != ""
+	if home.Name() == "" {
+		return home, model.Places, model.Refuse(model.NoTarget{}, 0)
+	}
+	f.picker.send(home.Name())
+	return home, model.Places, nil
+}
+
+// learn takes what an answer's header reports of a target out of it.
+func (f *Front) learn(j *job, name model.Instance, h http.Header) {
+	if r, ok := takeReport(h); ok {
+		f.picker.learn(*j, name, r)
+		f.running.note(j.parent, j.service, r.Level())
+	}
 }
 
 // reach runs a request at the target beside this daemon, or sends it to another
@@ -55,7 +68,11 @@
 	out := f.outbound(ctx, j, p)
 	if m.Name() == j.view.Self().Name() {
 		out.URL.Opaque = j.path
-		return f.perform(ctx, call, out)
+		from, unspent, err := f.perform(ctx, call, out)
+		if err == nil {
+			f.learn(j, m.Name(), from.Header)
+		}
+		return from, unspent, err
 	}
 	out.URL.Scheme, out.URL.Host, out.URL.Path = "http", m.Address(), "/relay"
 	out.URL.Opaque = "//" + m.Address() + "/relay" + j.path
@@ -68,6 +85,7 @@
 	if from.Header.Get(headerLeaving) != "" {
 		f.aside.put(f.clock.Now(), m.Name())
 	}
+	f.learn(j, m.Name(), from.Header)
 	unspent, _ := strconv.Atoi(from.Header.Get(headerUnspent))
 	if refusal, is := readRefusal(from); is {
 		_ = from.Body.Close()
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -49,6 +49,9 @@
 	if err == nil {
 		began, err = f.forward(w, r, j)
 	}
+	if err != nil {
+		f.running.refuse(j.parent)
+	}
 	if j.parent != "" {
 		f.running.refund(j.parent, &j.part, j.budget.Left())
 	}
@@ -152,7 +155,10 @@
 	if err != nil {
 		return err
 	}
-	j.call = model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left)
+	if j.view.Isolated(org, f.prefs.Isolation()) {
+		return model.Refuse(model.Isolated{}, 0)
+	}
+	j.call = f.picker.order(model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left))
 	j.until = time.Now().Add(left)
 	j.budget = retry.NewBudget(f.prefs.Budget())
 	if org == "" {
--- a/io/front/flight.go
+++ b/io/front/flight.go
@@ -21,6 +21,9 @@
 	call   model.Call
 	budget retry.Budget
 	until  time.Time
+	// levels are those that calls below met, by service.
+	levels  map[model.Service]model.Place
+	refused bool // a call below was refused
 }
 
 func (f *flights) begin(call model.Call) string {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -62,7 +62,7 @@
 		gate:   gate{clock: c},
 		purse:  purse{tokens: l.Purse()},
 		drain:  drain{clock: c},
-		picker: picker{rnd: newRand()},
+		picker: picker{clock: c, rnd: newRand()},
 		rnd:    newRand(),
 		book: book{
 			core: once.NewBook(p.Name(), p.Window()),
--- a/io/front/once.go
+++ b/io/front/once.go
@@ -231,6 +231,7 @@
 
 func (f *Front) record(call model.Call, from *http.Response) io.ReadCloser {
 	status, header := from.StatusCode, from.Header.Clone()
+	header.Del(headerLevel)
 	return &recorder{ReadCloser: from.Body, ended: func(body []byte, whole bool) {
 		var a *once.Answer
 		if whole && len(from.Trailer) == 0 {
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -31,6 +31,9 @@
 	// headerLeaving marks the answers of a daemon in its planned stop, for the
 	// other daemons.
 	headerLeaving = "Leaving"
+	// headerLevel carries between daemons what the callee's tells of its
+	// target.
+	headerLevel = "Level"
 	// headerKey carries a key, as an alternative to Authorization.
 	headerKey = "Key"
 )
@@ -44,7 +47,11 @@
 		Wait   int64  `json:"wait"`
 	}{model.ReasonName(r.Reason()), model.RunName(r.Run()), r.Wait().Milliseconds()})
 	h := w.Header()
+	level := h.Get(headerLevel)
 	clear(h)
+	if level != "" {
+		h.Set(headerLevel, level)
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRefusal, model.ReasonName(r.Reason()))
 	if r.Wait() > 0 {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -39,6 +39,7 @@
 		f.note(call, trace.NewRefused(refusalOf(err)))
 		writeRefusal(w, refusalOf(err), func(h http.Header) {
 			h.Set(headerUnspent, strconv.Itoa(unspent))
+			h.Set(headerLevel, f.report(""))
 			f.part(h)
 		})
 		return
@@ -130,19 +131,23 @@
 	sent, at := time.Now(), f.clock.Now()
 	from, err := send(f.targetFor(out.Method), out, nil)
 	if err != nil {
-		if ctx.Err() != nil {
-			v.outcome = admit.Abandoned{}
-		}
+		v.outcome = failureOf(ctx)
 		return nil, v.end(), err
 	}
 	f.drain.note(from.Header, at)
 	dropOwn(from)
-	v.outcome = outcomeOf(from, time.Since(sent))
+	from.Header.Set(headerLevel, f.report(v.token))
+	v.outcome = outcomeOf(from, time.Since(sent), f.running.refused(v.token))
 	from.Body = &closing{ReadCloser: from.Body, done: func() { v.end() }}
 	return from, f.running.settle(v.token), nil
 }
 
-func outcomeOf(from *http.Response, took time.Duration) admit.Outcome {
+// outcomeOf returns what an answer says of the target. An error after a call
+// below was refused says nothing of it.
+func outcomeOf(from *http.Response, took time.Duration, below bool) admit.Outcome {
+	if below && from.StatusCode >= http.StatusInternalServerError {
+		return admit.Abandoned{}
+	}
 	if from.StatusCode == http.StatusServiceUnavailable || from.StatusCode == http.StatusTooManyRequests {
 		return admit.Rejected{}
 	}
