--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -20,6 +20,7 @@
 	b = strconv.AppendInt(append(b, "&order="...), int64(c.Order()), 10)
 	b = strconv.AppendInt(append(b, "&left="...), c.Left().Microseconds(), 10)
 	b = strconv.AppendInt(append(b, "&budget="...), int64(c.Budget()), 10)
+	b = strconv.AppendUint(append(b, "&mark="...), uint64(c.Mark()), 16)
 	if c.Tag() != "" {
 		b = append(append(b, "&tag="...), c.Tag()...)
 		b = strconv.AppendUint(append(b, "&rev="...), uint64(c.Revision()), 10)
@@ -47,13 +48,14 @@
 	order, errOrder := strconv.ParseUint(v.Get("order"), 10, 8)
 	left, errLeft := strconv.ParseInt(v.Get("left"), 10, 64)
 	budget, errBudget := strconv.ParseUint(v.Get("budget"), 10, 16)
-	bad := errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
+	mark, errMark := strconv.ParseUint(v.Get("mark"), 16, 64)
+	bad := errMark != nil || errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
 	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
 	left = max(0, min(left, maxLeft.Microseconds()))
 	c := model.NewCall(model.Request(id), model.Org(org), model.Rank(rank))
-	c = c.WithOrder(model.Order(order)).WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget))
+	c = c.WithMark(model.Print(mark)).WithOrder(model.Order(order)).WithLeft(time.Duration(left) * time.Microsecond).WithBudget(int(budget))
 	return decodeMarks(c, v)
 }
 
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilstand/core/conf"
+	"anvilstand/core/crash"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
@@ -50,6 +51,7 @@
 	written model.Revision
 	shares  shares
 	watch   func(*View)
+	crash   *crash.Book
 }
 
 type envelope struct {
@@ -65,6 +67,7 @@
 		clock: clock.New(), node: spread.New(self, p, seeds),
 	}
 	l.shares = newShares(self, l.clock)
+	l.crash = &crash.Book{}
 	l.publish(l.clock.Now())
 	return l
 }
--- a/io/daemon/once_test.go
+++ b/io/daemon/once_test.go
@@ -38,7 +38,7 @@
 	r.configure(entries[0])
 	time.Sleep(600 * time.Millisecond)
 	post := func(entry int, key string) (int, string) {
-		w, text, err := entries[entry].do(t.Context(), http.MethodPost, "/stock/orders", strings.NewReader("x"), "Idempotency-Key", key)
+		w, text, err := entries[entry].do(t.Context(), http.MethodPost, "/stock/orders/"+key, strings.NewReader("x"), "Idempotency-Key", key)
 		if err != nil {
 			return 0, err.Error()
 		}
--- a/io/daemon/retry_test.go
+++ b/io/daemon/retry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -27,7 +28,7 @@
 		body         string
 		most, least  int32
 	}{
-		"idempotent":                  {method: http.MethodGet, path: "/stock/items", answer: dies, status: 502, body: `"run":"unknown"`, least: 2, most: 4},
+		"idempotent":                  {method: http.MethodGet, path: "/stock/items", answer: dies, status: 502, body: `"run":"unknown"`, least: 2, most: 2},
 		"not idempotent":              {method: http.MethodPost, path: "/stock/orders", answer: dies, status: 502, body: `"run":"unknown"`, least: 1, most: 1},
 		"not idempotent GET":          {method: http.MethodGet, path: "/stock/once", answer: dies, status: 502, body: `"run":"unknown"`, least: 1, most: 1},
 		"header of the transport":     {method: http.MethodGet, path: "/stock/once", header: []string{"X-Idempotency-Key", "1"}, answer: dies, status: 502, least: 1, most: 1},
@@ -36,7 +37,7 @@
 		"interim responses":           {method: http.MethodPost, path: "/stock/orders", answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", least: 1, most: 1},
 		"answer that is no HTTP":      {method: http.MethodPost, path: "/stock/orders", answer: "hello\r\n\r\n", status: 502, body: `"run":"unknown"`, least: 1, most: 1},
 		"headers without end":         {method: http.MethodPost, path: "/stock/orders", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 100<<10), status: 502, body: `"run":"unknown"`, least: 1, most: 1},
-		"idempotency key and a GET":   {method: http.MethodGet, path: "/stock/items", header: []string{"Idempotency-Key", "1"}, answer: dies, status: 502, least: 2, most: 4},
+		"idempotency key and a GET":   {method: http.MethodGet, path: "/stock/items", header: []string{"Idempotency-Key", "1"}, answer: dies, status: 502, least: 2, most: 2},
 		"target that sheds by itself": {method: http.MethodGet, path: "/stock/items", answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", status: 503, least: 1, most: 1},
 	}
 	var ran atomic.Int32
@@ -72,7 +73,7 @@
 				}
 			}
 			ran.Store(0)
-			w, text, err := entry.do(t.Context(), tc.method, tc.path, nil, tc.header...)
+			w, text, err := entry.do(t.Context(), tc.method, tc.path+"/"+url.PathEscape(name), nil, tc.header...)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -20,11 +20,18 @@
 	began bool
 	// unknown reports whether an attempt may have run.
 	unknown bool
+	// broken counts the attempts that may have run.
+	broken int
 }
 
+// maxBroken is the number of attempts that may have run after which a request
+// is tried once more. It bounds the targets that a killing request reaches.
+const maxBroken = 1
+
 func (t *tries) take(r *model.Refusal) {
 	if _, may := r.Run().(model.MayHaveRun); may {
 		t.unknown = true
+		t.broken++
 	}
 }
 
@@ -49,6 +56,7 @@
 	ctx, l := newLimit(r.Context(), time.Until(j.until), f.prefs.Stall(), j.firm)
 	defer l.end()
 	f.ratio.fresh(j.call.Org(), j.service)
+	j.call = mark(*j, r, p)
 	t := &tries{tried: map[model.Instance]bool{}}
 	f.aside.mark(f.clock.Now(), j.view.Serving(j.service), t.tried)
 	for {
@@ -84,7 +92,7 @@
 		return fault
 	}
 	why, ok := retry.Reason(refusal, j.route.Idempotent() || j.call.Once() != "")
-	if !ok {
+	if !ok || t.broken > maxBroken {
 		return refusal
 	}
 	pause := f.pause(j, t, refusal)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -45,6 +45,7 @@
 	freshTarget *http.Transport
 	leaving     atomic.Bool
 	refusing    atomic.Bool
+	ward        ward
 }
 
 // New returns the traffic side of a daemon, which reaches the other daemons and
@@ -72,6 +73,7 @@
 		freshPeers:  newTransport(peers, freshTimeout),
 		target:      newTransport(target, idleTimeout),
 		freshTarget: newTransport(target, freshTimeout),
+		ward:        ward{clock: c, loop: l},
 	}
 	l.Watch(f.Observe)
 	return f
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -105,6 +105,7 @@
 
 // end gives the target's slot back and returns the retries not spent.
 func (v *visit) end() int {
+	v.front.ward.leave(v.ticket)
 	v.front.gate.finish(v.ticket, v.outcome)
 	return v.front.running.end(v.token)
 }
@@ -125,6 +126,10 @@
 		f.gate.finish(ticket, admit.Abandoned{})
 		return nil, call.Budget(), err
 	}
+	if err := f.ward.enter(ticket, call.Mark()); err != nil {
+		f.gate.finish(ticket, admit.Abandoned{})
+		return nil, call.Budget(), err
+	}
 	call = call.WithLeft(call.Left() - time.Since(began))
 	v := &visit{front: f, ticket: ticket, token: f.running.begin(call), outcome: admit.Failed{}}
 	f.address(out, call, v.token)
@@ -132,12 +137,14 @@
 	from, err := send(f.targetFor(out.Method), out, nil)
 	if err != nil {
 		v.outcome = failureOf(ctx)
+		f.ward.failed(ticket, err)
 		return nil, v.end(), err
 	}
 	f.drain.note(from.Header, at)
 	dropOwn(from)
 	from.Header.Set(headerLevel, f.report(v.token))
 	v.outcome = outcomeOf(from, time.Since(sent), f.running.refused(v.token))
+	f.ward.served(call.Mark())
 	from.Body = &closing{ReadCloser: from.Body, done: func() { v.end() }}
 	return from, f.running.settle(v.token), nil
 }
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -31,7 +31,9 @@
 
 // New returns the operators' side of a daemon.
 func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter, trace func(model.Request) []string) *Oper {
-	return &Oper{prefs: p, loop: l, store: s, meter: m, trace: trace}
+	o := &Oper{prefs: p, loop: l, store: s, meter: m, trace: trace}
+	o.show()
+	return o
 }
 
 // Handler serves the operators.
