--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -50,6 +50,7 @@
 	// written is the revision of the newest base known to be in the store.
 	written model.Revision
 	shares  shares
+	watch   func(*View)
 	crash   *crash.Book
 }
 
@@ -156,6 +157,10 @@
 // View returns the newest snapshot.
 func (l *Loop) View() *View { return l.view.Load() }
 
+// Watch has f called with each view to come, in the control goroutine. It is
+// called before Run, and f must not wait.
+func (l *Loop) Watch(f func(*View)) { l.watch = f }
+
 // Await waits until a snapshot is as asked, or ctx ends.
 func (l *Loop) Await(ctx context.Context, ok func(*View) bool) error {
 	for ctx.Err() == nil {
@@ -195,7 +200,11 @@
 // publish puts a new snapshot in place and wakes those who wait for one.
 func (l *Loop) publish(now model.Instant) {
 	l.routes = l.route()
-	old := l.view.Swap(l.snapshot(now))
+	v := l.snapshot(now)
+	old := l.view.Swap(v)
+	if l.watch != nil {
+		l.watch(v)
+	}
 	if old != nil {
 		close(old.changed)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
+	"anvilstand/core/model"
 	"anvilstand/core/peer"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
@@ -56,7 +57,7 @@
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.loop.SetHold(p.Hold())
 	d.front = front.New(p, d.peer, n, d.loop, m)
-	d.oper = oper.New(p, d.loop, s, m)
+	d.oper = oper.New(p, d.loop, s, m, d.front.Trace)
 	return d, nil
 }
 
@@ -130,16 +131,34 @@
 
 func (d *Daemon) leave(servers []*http.Server) {
 	d.log.Info("leaving")
+	d.front.Announce()
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
 	d.awaitRecord(ctx)
 	d.awaitTitles(ctx)
-	d.front.Close()
+	settle(ctx, d.prefs.Settle())
+	cut := d.front.Close(ctx)
 	for _, s := range servers {
-		_ = s.Shutdown(ctx)
+		cut = errors.Join(cut, s.Shutdown(ctx))
+	}
+	// A connection that was accepted while its listener closed is served still.
+	settle(ctx, min(lingerTime, d.prefs.Settle()))
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	d.front.Free()
+	d.log.Info("left", "cut", cut != nil)
+}
+
+// settle waits while the other daemons learn that this one leaves.
+func settle(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	d.log.Info("left")
 }
 
 // awaitRecord waits for the record to say that this daemon leaves, if there is
@@ -172,6 +191,10 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
+	// lingerTime is how long the process lives on after its last answer, so
+	// that the end of the process does not reset a connection whose caller has
+	// not read it yet.
+	lingerTime    = time.Second
 	retireTimeout = time.Second
 	// resignTimeout bounds the wait for the titles of shares to be resigned.
 	resignTimeout = 2 * time.Second
@@ -201,6 +224,7 @@
 	m.Handle("/link", link.Accept(d.self.Incarnation(), d.prefs.Secret(), d.log, func(ctx context.Context, p peer.Post) error {
 		return d.loop.Tell(ctx, ctrl.NewHeard(p))
 	}))
+	m.Handle("/claim", d.front.Claims())
 	m.PathPrefix("/relay").Handler(d.front.Peers())
 	return m
 }
@@ -211,3 +235,6 @@
 	}
 	return nil
 }
+
+// Trace returns what this daemon decided about a request, a line a step.
+func (d *Daemon) Trace(id model.Request) []string { return d.front.Trace(id) }
--- a/io/front/level.go
+++ b/io/front/level.go
@@ -47,7 +47,7 @@
 	if err == nil {
 		return route.Answered{}
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errLate) {
 		return route.Canceled{}
 	}
 	r := refusalOf(err)
--- a/io/front/pick.go
+++ b/io/front/pick.go
@@ -52,6 +52,13 @@
 	return route.Path(j.route.Method() + " " + j.route.Prefix())
 }
 
+// send notes an attempt to a target that was not picked here.
+func (p *picker) send(name model.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Send(name)
+}
+
 // learn notes a report that came with an answer.
 func (p *picker) learn(j job, name model.Instance, r route.Report) {
 	p.mu.Lock()
--- a/io/oper/source.go
+++ b/io/oper/source.go
@@ -18,6 +18,7 @@
 type source struct {
 	view  *ctrl.View
 	meter *meter.Meter
+	trace func(model.Request) []string
 }
 
 // Config returns the configuration in force here.
@@ -53,5 +54,5 @@
 // Shares returns the state of the shares here.
 func (s source) Shares() []share.State { return s.view.Shares() }
 
-// Trace returns nothing yet: requests are not recorded.
-func (s source) Trace(model.Request) []string { return nil }
+// Trace returns what was decided here about a request.
+func (s source) Trace(id model.Request) []string { return s.trace(id) }
--- a/io/oper/tell_test.go
+++ b/io/oper/tell_test.go
@@ -195,7 +195,7 @@
 }
 
 func newOper(p *prefs.Prefs, l *ctrl.Loop, s *stand.Stand) *oper.Oper {
-	return oper.New(p, l, s, meter.New())
+	return oper.New(p, l, s, meter.New(), nil)
 }
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -49,7 +49,7 @@
 // fields are the names that settings may have, in the order of the docs.
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
-	"operators", "deadline", "grace", "budget", "body", "conns", "cert", "key", "authority",
+	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "conns", "cert", "key", "authority",
 	"seeds", "isolation", "hold",
 }
 
@@ -127,6 +127,9 @@
 	need(p.isolation > 0 && p.isolation.Seconds() <= maxTime, "isolation", seconds)
 	need(!slices.ContainsFunc(p.seeds, isNoAddress), "seeds", "a list of addresses as host:port with an IP number")
 	need(p.grace > 0 && p.grace.Seconds() <= maxTime, "grace", seconds)
+	need(p.stall > 0 && p.stall.Seconds() <= maxTime, "stall", seconds)
+	need(p.window > 0 && p.window.Seconds() <= maxTime, "window", seconds)
+	need(p.settle >= 0 && p.settle < p.grace, "settle", "seconds, 0 or more and less than grace")
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
 	need(p.maxBody > 0, "body", "bytes, above 0")
 	need(p.conns > 0, "conns", "connections, above 0")
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -28,6 +28,9 @@
 	grace     time.Duration
 	budget    int
 	maxBody   int64
+	stall     time.Duration
+	window    time.Duration
+	settle    time.Duration
 	conns     int
 	cert      string
 	certKey   string
@@ -90,6 +93,16 @@
 // MaxBody returns the largest request body, in bytes.
 func (p *Prefs) MaxBody() int64 { return p.maxBody }
 
+// Stall returns how long a caller or an answer may make no progress.
+func (p *Prefs) Stall() time.Duration { return p.stall }
+
+// Window returns how long an idempotency key is remembered.
+func (p *Prefs) Window() time.Duration { return p.window }
+
+// Settle returns how long a planned stop still takes new work, until the other
+// daemons know of it.
+func (p *Prefs) Settle() time.Duration { return p.settle }
+
 // Conns returns how many connections each listener holds open.
 func (p *Prefs) Conns() int { return p.conns }
 
@@ -102,6 +115,9 @@
 
 // Defaults of the settings that may be left out.
 const (
+	defaultStall     = 30 * time.Second
+	defaultWindow    = time.Minute
+	defaultSettle    = 3 * time.Second
 	defaultDeadline  = 5 * time.Second
 	defaultGrace     = 30 * time.Second
 	defaultHold      = time.Hour
@@ -123,6 +139,7 @@
 		Front, Peer, Oper, Target string
 		Store, Secret             string
 		Operators                 map[string]string
+		Stall, Window, Settle     *float64
 		Deadline, Grace, Hold     *float64
 		Budget, Conns             *int
 		Body                      *int64
@@ -139,6 +156,7 @@
 		operators: w.Operators,
 		deadline:  seconds(w.Deadline, defaultDeadline), grace: seconds(w.Grace, defaultGrace),
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
+		stall: seconds(w.Stall, defaultStall), window: seconds(w.Window, defaultWindow), settle: seconds(w.Settle, defaultSettle),
 		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
 		hold:  seconds(w.Hold, defaultHold),
 		conns: or(w.Conns, defaultConns),
