The trial's fleet remembers idempotency keys for a second

Cause: its daemons are younger than the window of 60 s, so its requests with a key were refused as repeat. Change: a window of 1 s in the trial's settings.

--- a/io/trial/fleet.go
+++ b/io/trial/fleet.go
@@ -68,6 +68,8 @@
 		"front": "127.0.0.1:0", "peer": "127.0.0.1:0", "oper": "127.0.0.1:0",
 		"target": t.server.URL, "store": "http://127.0.0.1:1", "secret": "trial-secret",
 		"operators": map[string]string{"trial": operatorKey},
+		// A fleet younger than a window runs no request with an idempotency key.
+		"window": 1,
 	})
 	if err != nil {
 		return err
