A listener is drained before it closes

Cause: planned stops cut requests. A connection whose opening had begun when the listener closed was reset with the request on it. Change: before a listener closes, a filter has the operating system drop segments that open a connection; what is half open or waits is accepted and served. In the matrix, callers no longer let their transport send a request again by itself: the history then knew one sending and the target two (Spread/CrashBefore, Truth).

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -39,6 +39,7 @@
 	front *front.Front
 	oper  *oper.Oper
 	lns   []net.Listener
+	raw   []net.Listener // the same listeners, to be drained
 }
 
 // New opens the daemon's listeners. An address with port 0 takes any free port.
@@ -82,6 +83,7 @@
 			d.closeListeners()
 			return errors.Wrapf(err, "listen for %s at %s", name, addresses[name])
 		}
+		d.raw = append(d.raw, ln)
 		d.lns = append(d.lns, netutil.LimitListener(ln, d.prefs.Conns()))
 	}
 	return nil
@@ -138,6 +140,10 @@
 	d.awaitRecord(ctx)
 	d.awaitTitles(ctx)
 	settle(ctx, d.prefs.Settle())
+	for _, ln := range d.raw {
+		_ = wire.Drain(ln)
+	}
+	settle(ctx, min(lingerTime, d.prefs.Settle()))
 	cut := d.front.Close(ctx)
 	for _, s := range servers {
 		cut = errors.Join(cut, s.Shutdown(ctx))
--- a/io/wire/secure.go
+++ b/io/wire/secure.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return tls.NewListener(ln, s.listen), nil
+	return secured{Listener: tls.NewListener(ln, s.listen), under: ln}, nil
 }
 
 // DialContext connects to an address and checks the certificate of its host.
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -40,7 +40,11 @@
 // Listen listens at an address.
 func (TCP) Listen(address string) (net.Listener, error) {
 	c := net.ListenConfig{KeepAliveConfig: probes, Control: boundSilence}
-	return c.Listen(context.Background(), "tcp", address)
+	ln, err := c.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drainable(ln), nil
 }
 
 // DialContext connects to an address.
--- a/proof/cells/caller.go
+++ b/proof/cells/caller.go
@@ -152,7 +152,11 @@
 		return audit.NewCut(err.Error())
 	}
 	r.Header.Set("Authorization", "Bearer "+s.key)
+	// The transport must not send a request again by itself: the history would
+	// know of one sending and the target of two.
+	r.Body, r.GetBody = io.NopCloser(strings.NewReader("")), nil
 	if once {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(s.id)), int64(len(s.id))
 		r.Header.Set("Idempotency-Key", s.id)
 	}
 	end := read(f.callers[n], r)
