Faults of the language show no word, wherever a key may stand

Cause: a key in a wrong place came back in the fault of the command, 6 of 6 cases of TestFaultsHideKeys; the words were hidden only where the text named a key. Change: a fault gives the place, what is expected and the length of the word.

--- a/core/change/read.go
+++ b/core/change/read.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 
-	"github.com/go-faster/errors"
-
 	"anvilstand/core/lang"
 	"anvilstand/core/model"
 )
@@ -52,30 +50,11 @@
 	}
 	batch, err := Parse(text)
 	if err != nil {
-		return nil, withoutKey(text, err)
+		return nil, err
 	}
 	return Batch{changes: batch}, nil
 }
 
-// withoutKey takes the word at which a fault stands out of it, when the text
-// may hold a key there.
-func withoutKey(text string, err error) error {
-	var fault *lang.Fault
-	if errors.As(err, &fault) && mayHoldKey(text) {
-		return fault.Silent()
-	}
-	return err
-}
-
-func mayHoldKey(text string) bool {
-	for _, word := range []string{"grant", "withdraw", "key"} {
-		if strings.Contains(strings.ToLower(text), word) {
-			return true
-		}
-	}
-	return false
-}
-
 // Show returns the text of a batch for people, with keys cut to the first
 // digits of their digests.
 func Show(batch []Change) string {
--- a/core/lang/lang.go
+++ b/core/lang/lang.go
@@ -18,14 +18,6 @@
 	column int
 	want   string
 	got    string
-	silent bool
-}
-
-// Silent returns the fault without the word that stands at its place.
-func (f *Fault) Silent() *Fault {
-	silent := *f
-	silent.silent = true
-	return &silent
 }
 
 // Line returns the line of the fault, from 1.
@@ -37,14 +29,12 @@
 // Want returns what the language expects at that place.
 func (f *Fault) Want() string { return f.want }
 
-// Error returns the place, the expectation and what stands there.
+// Error returns the place, the expectation and the length of what stands there.
+// The word itself is not shown: it may be a key in a wrong place.
 func (f *Fault) Error() string {
-	got := strconv.Quote(f.got)
-	switch {
-	case f.silent:
-		got = "a word not shown, as it may be a key"
-	case f.got == "":
-		got = "the end"
+	got := "the end"
+	if f.got != "" {
+		got = fmt.Sprintf("a word of %d bytes", len(f.got))
 	}
 	return fmt.Sprintf("line %d, column %d: expected %s, found %s", f.line, f.column, f.want, got)
 }
