The break of a change never in force is by a daemon that was there all along

Cause: the check gives a process 5 s from its first look; the break used a daemon with one look. Change: the break's daemon is seen from the start. Conclusion: the check still fails where it must.

--- a/proof/cells/break_test.go
+++ b/proof/cells/break_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -233,8 +234,10 @@
 }
 
 func stayBehind(h *audit.History) {
-	last := h.Held()[len(h.Held())-1]
-	h.AddHeld(audit.NewHeld("another", last.At(), 1))
+	held := h.Held()
+	first := slices.IndexFunc(held, func(r audit.Held) bool { return r.Revision() == 1 })
+	h.AddHeld(audit.NewHeld("another", held[first].At(), 1))
+	h.AddHeld(audit.NewHeld("another", held[len(held)-1].At(), 1))
 }
 
 func neverHappens(Step, cable.Write) bool { return false }
