One wait in place of six; a refused command is printed once

Cause: the same wait for a time or the end of a context stood in six packages, and tell printed the text of a refusal on both outputs. Change: clock.Rest; tell prints a refusal as its error only. No other change of behaviour.

--- a/cmds/change/tell.go
+++ b/cmds/change/tell.go
@@ -56,7 +56,7 @@
 	}
 	if cmd.Bool("json") {
 		_ = json.NewEncoder(cmd.Root().Writer).Encode(result)
-	} else {
+	} else if w.StatusCode == http.StatusOK {
 		fmt.Fprintf(cmd.Root().Writer, "revision %d: %s\n", result.Revision, result.Result)
 	}
 	return outcome(w.StatusCode, result.Result)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/front"
@@ -139,17 +140,17 @@
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
 	d.awaitRecord(ctx)
 	d.awaitTitles(ctx)
-	settle(ctx, d.prefs.Settle())
+	_ = clock.Rest(ctx, d.prefs.Settle())
 	for _, ln := range d.raw {
 		_ = wire.Drain(ln)
 	}
-	settle(ctx, min(lingerTime, d.prefs.Settle()))
+	_ = clock.Rest(ctx, min(lingerTime, d.prefs.Settle()))
 	cut := d.front.Close(ctx)
 	for _, s := range servers {
 		cut = errors.Join(cut, s.Shutdown(ctx))
 	}
 	// A connection that was accepted while its listener closed is served still.
-	settle(ctx, min(lingerTime, d.prefs.Settle()))
+	_ = clock.Rest(ctx, min(lingerTime, d.prefs.Settle()))
 	for _, s := range servers {
 		_ = s.Close()
 	}
@@ -157,16 +158,6 @@
 	d.log.Info("left", "cut", cut != nil)
 }
 
-// settle waits while the other daemons learn that this one leaves.
-func settle(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // awaitRecord waits for the record to say that this daemon leaves, if there is
 // another to write it.
 func (d *Daemon) awaitRecord(ctx context.Context) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -10,6 +10,7 @@
 	"anvilstand/core/model"
 	"anvilstand/core/retry"
 	"anvilstand/core/trace"
+	"anvilstand/io/clock"
 )
 
 // tries is what an entry daemon remembers of the attempts of one request.
@@ -102,7 +103,7 @@
 	}
 	f.meter.Retry(j.service, why)
 	f.note(j.call, trace.NewRetried(why, pause))
-	if rest(ctx, pause) != nil {
+	if clock.Rest(ctx, pause) != nil {
 		return refusal
 	}
 	j.view = f.loop.View()
@@ -159,17 +160,3 @@
 	defer f.rndMu.Unlock()
 	return retry.Jitter(f.rnd, wait)
 }
-
-func rest(ctx context.Context, d time.Duration) error {
-	if d == 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -19,6 +19,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/wire"
 )
@@ -138,7 +139,7 @@
 			failed = 0
 		}
 		l.log.Debug("link failed", "peer", address, "error", err)
-		rest(l.ctx, redial+rand.N(redial))
+		_ = clock.Rest(l.ctx, redial+rand.N(redial))
 	}
 }
 
@@ -226,12 +227,3 @@
 	defer cancel()
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"anvilstand/io/clock"
 	"anvilstand/io/store"
 )
 
@@ -124,24 +125,16 @@
 	case Down:
 		return store.ErrAway
 	case Slow:
-		return sleep(ctx, f.delay)
+		if clock.Rest(ctx, f.delay) != nil {
+			return store.ErrAway
+		}
+		return nil
 	case Lost:
 		return nil
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return store.ErrAway
-	case <-t.C:
-		return nil
-	}
-}
-
 func (s *Stand) get(key string) store.Item {
 	h, ok := s.items[key]
 	if !ok || (!h.expires.IsZero() && time.Now().After(h.expires)) {
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"anvilstand/io/clock"
 	"anvilstand/proof/audit"
 )
 
@@ -54,7 +55,7 @@
 	defer func() { _ = g.Wait() }()
 	for n := 0; ctx.Err() == nil; n++ {
 		demand := t.sends * float64(f.more.Load())
-		rest(ctx, time.Duration(rnd.ExpFloat64()/demand*float64(time.Second)))
+		_ = clock.Rest(ctx, time.Duration(rnd.ExpFloat64()/demand*float64(time.Second)))
 		s := f.draw(t, n, rnd)
 		g.Go(func() error {
 			f.shoot(ctx, caller, s)
@@ -159,6 +160,6 @@
 		}
 		r.Header.Set("Authorization", "Bearer "+s.key)
 		_ = read(caller, r)
-		rest(ctx, poisonEvery)
+		_ = clock.Rest(ctx, poisonEvery)
 	}
 }
--- a/io/trial/probe.go
+++ b/io/trial/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"anvilstand/io/clock"
 )
 
 // probes measures calls through the daemons against direct calls of the same
@@ -42,7 +44,7 @@
 		t := f.targets[i%len(f.targets)]
 		measure(ctx, caller, t.server.URL+"/probe", p.direct)
 		measure(ctx, caller, "http://"+f.entry(i, i)+"/"+string(t.load.name)+"/probe", p.through)
-		rest(ctx, probeEvery)
+		_ = clock.Rest(ctx, probeEvery)
 	}
 }
 
--- a/io/trial/trial.go
+++ b/io/trial/trial.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"anvilstand/io/clock"
 	"anvilstand/proof/audit"
 )
 
@@ -80,7 +81,7 @@
 // idleShare returns the share of a core that the control of one daemon takes.
 func (f *fleet) idleShare(ctx context.Context) float64 {
 	used, began := processor(), time.Now()
-	rest(ctx, idle)
+	_ = clock.Rest(ctx, idle)
 	return float64(processor()-used) / float64(time.Since(began)) / float64(len(f.targets))
 }
 
@@ -116,7 +117,7 @@
 
 // play places the faults, then takes a failure domain out and brings it back.
 func (t Trial) play(ctx context.Context, f *fleet, r *Report) {
-	rest(ctx, t.part(faultFrom))
+	_ = clock.Rest(ctx, t.part(faultFrom))
 	r.faultFrom = f.history.Now()
 	fault, cancel := context.WithTimeout(ctx, t.part(faultUntil-faultFrom))
 	defer cancel()
@@ -130,11 +131,11 @@
 		end()
 	}
 	r.faultUntil = f.history.Now()
-	rest(ctx, t.part(outFrom-faultUntil))
+	_ = clock.Rest(ctx, t.part(outFrom-faultUntil))
 	out := string(domains[len(domains)-1])
 	r.outFrom = f.history.Now()
 	f.tellNoted(ctx, opOut, "out domain "+out)
-	rest(ctx, t.part(outUntil-outFrom))
+	_ = clock.Rest(ctx, t.part(outUntil-outFrom))
 	r.outUntil = f.history.Now()
 	f.tellNoted(ctx, opIn, "in domain "+out)
 }
@@ -145,7 +146,7 @@
 		return
 	}
 	for last := (audit.Tally{}); ctx.Err() == nil; {
-		rest(ctx, time.Second)
+		_ = clock.Rest(ctx, time.Second)
 		now := f.history.Tally()
 		fmt.Fprintf(progress, "\r%3.0f s  %5d sent  %5d whole  %5d refused  %5d cut a second ",
 			f.history.Now().Seconds(), now.Sent()-last.Sent(), now.Whole()-last.Whole(), now.Refused()-last.Refused(), now.Cut()-last.Cut())
--- a/io/watch/roll.go
+++ b/io/watch/roll.go
@@ -9,6 +9,7 @@
 
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/store"
@@ -108,7 +109,7 @@
 	}
 	listed := false
 	for f.loop.Await(ctx, stale) == nil {
-		rest(ctx, Pause/2)
+		_ = clock.Rest(ctx, Pause/2)
 		record, ok := f.loop.View().Record()
 		if !ok {
 			continue
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/model"
+	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/store"
@@ -78,7 +79,7 @@
 			return
 		}
 	}
-	rest(ctx, rand.N(startSpread))
+	_ = clock.Rest(ctx, rand.N(startSpread))
 	for ctx.Err() == nil && !known(f.loop.View()) {
 		if f.readRoll(ctx, d) == nil {
 			return
@@ -169,13 +170,4 @@
 }
 
 // pause waits for d and up to as much again.
-func pause(ctx context.Context, d time.Duration) { rest(ctx, d+rand.N(d)) }
-
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
+func pause(ctx context.Context, d time.Duration) { _ = clock.Rest(ctx, d+rand.N(d)) }
