Strangers at the operators' address are counted and logged

Cause: a request without an operator's key was refused in silence. Change: counter strangers_total by path, and a log line with the peer.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -59,7 +59,7 @@
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.loop.SetHold(p.Hold())
 	d.front = front.New(p, d.peer, n, d.loop, m)
-	d.oper = oper.New(p, d.loop, s, m, d.front.Trace)
+	d.oper = oper.New(p, d.loop, s, m, d.front.Trace, log)
 	return d, nil
 }
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -20,6 +20,7 @@
 	refused  *prometheus.CounterVec
 	denied   *prometheus.CounterVec
 	retried  *prometheus.CounterVec
+	stranger *prometheus.CounterVec
 	mu       sync.Mutex
 	counts   map[model.Org]*tally
 }
@@ -37,9 +38,10 @@
 		refused:  counter("refused_total", "Requests refused, by organisation and reason.", "org", "reason"),
 		retried:  counter("retried_total", "Attempts repeated, by service and reason.", "service", "reason"),
 		denied:   counter("unretried_total", "Attempts not repeated although their reason would allow it, by service and cause.", "service", "cause"),
+		stranger: counter("strangers_total", "Requests to the operators' address without an operator's key, by path.", "path"),
 		counts:   map[model.Org]*tally{},
 	}
-	m.registry.MustRegister(m.served, m.refused, m.retried, m.denied)
+	m.registry.MustRegister(m.served, m.refused, m.retried, m.denied, m.stranger)
 	for _, r := range model.Reasons() {
 		m.refused.WithLabelValues("", model.ReasonName(r))
 	}
@@ -102,3 +104,7 @@
 	}
 	return t
 }
+
+// Stranger counts a request to a path of the operators' address that came
+// without an operator's key.
+func (m *Meter) Stranger(path string) { m.stranger.WithLabelValues(path).Inc() }
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
 
 	"anvilstand/core/model"
 	"anvilstand/core/query"
@@ -27,11 +28,12 @@
 	store store.Store
 	meter *meter.Meter
 	trace func(model.Request) []string
+	log   hclog.Logger
 }
 
 // New returns the operators' side of a daemon.
-func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter, trace func(model.Request) []string) *Oper {
-	o := &Oper{prefs: p, loop: l, store: s, meter: m, trace: trace}
+func New(p *prefs.Prefs, l *ctrl.Loop, s store.Store, m *meter.Meter, trace func(model.Request) []string, log hclog.Logger) *Oper {
+	o := &Oper{prefs: p, loop: l, store: s, meter: m, trace: trace, log: log}
 	o.show()
 	return o
 }
@@ -45,7 +47,8 @@
 	return m
 }
 
-// operator returns the name of the operator whose key came with a request.
+// operator returns the name of the operator whose key came with a request. One
+// whose key is not known is counted and logged.
 func (o *Oper) operator(r *http.Request) (string, bool) {
 	shown := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 	found := ""
@@ -54,6 +57,10 @@
 			found = name
 		}
 	}
+	if found == "" {
+		o.meter.Stranger(r.URL.Path)
+		o.log.Warn("operator refused", "path", r.URL.Path, "peer", r.RemoteAddr)
+	}
 	return found, found != ""
 }
 
--- a/io/oper/tell_test.go
+++ b/io/oper/tell_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/core/fleet"
@@ -195,7 +196,7 @@
 }
 
 func newOper(p *prefs.Prefs, l *ctrl.Loop, s *stand.Stand) *oper.Oper {
-	return oper.New(p, l, s, meter.New(), nil)
+	return oper.New(p, l, s, meter.New(), nil, hclog.NewNullLogger())
 }
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
