Targets and peers get the path in the usual form

Cause: the request line at the target was in the absolute form that only proxies are sent, GET http://host/items; a server that does not read it answered 404 (Python's http.server did). Change: the path goes out as it came, escapes kept. Conclusion: found by running the daemons beside a server of another make.

--- /dev/null
+++ b/io/daemon/target_test.go
@@ -0,0 +1,35 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestTargetSees holds the request line at the target to the form and the
+// escapes that the caller sent.
+func TestTargetSees(t *testing.T) {
+	p := startPair(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, r.RequestURI)
+	}))
+	p.configure(t)
+	cases := map[string]struct{ sent, want string }{
+		"plain":        {sent: "/stock/items", want: "/items"},
+		"query":        {sent: "/stock/items?a=1&b=%20", want: "/items?a=1&b=%20"},
+		"escaped":      {sent: "/stock/items/a%2Fb%20c", want: "/items/a%2Fb%20c"},
+		"double slash": {sent: "/stock/items//b", want: "/items//b"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, text, err := p.get(t, tc.sent, withKey(orgKey))
+			if err != nil || w.StatusCode != http.StatusOK {
+				t.Fatal(w, text, err)
+			}
+			if diff := cmp.Diff(tc.want, text); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -67,15 +67,15 @@
 func (f *Front) reach(ctx context.Context, j *job, p *parcel, m fleet.Member, call model.Call) (*http.Response, int, error) {
 	out := f.outbound(ctx, j, p)
 	if m.Name() == j.view.Self().Name() {
-		out.URL.Opaque = j.path
+		setPath(out.URL, j.path)
 		from, unspent, err := f.perform(ctx, call, out)
 		if err == nil {
 			f.learn(j, m.Name(), from.Header)
 		}
 		return from, unspent, err
 	}
-	out.URL.Scheme, out.URL.Host, out.URL.Path = "http", m.Address(), "/relay"
-	out.URL.Opaque = "//" + m.Address() + "/relay" + j.path
+	out.URL.Scheme, out.URL.Host = "http", m.Address()
+	setPath(out.URL, "/relay"+j.path)
 	out.Header.Set(headerCall, codec.EncodeCall(call))
 	out.Header.Set("Authorization", f.secret)
 	from, err := f.exchange(out, p.stream != nil, f.peersFor(j))
--- a/io/front/header.go
+++ b/io/front/header.go
@@ -159,3 +159,12 @@
 		}
 	}
 }
+
+// setPath gives a URL a path in its escaped form, as it came.
+func setPath(u *url.URL, escaped string) {
+	path, err := url.PathUnescape(escaped)
+	if err != nil {
+		path = escaped
+	}
+	u.Path, u.RawPath = path, escaped
+}
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -85,9 +85,10 @@
 func inbound(ctx context.Context, r *http.Request) *http.Request {
 	out := (&http.Request{
 		Method: r.Method,
-		URL:    &url.URL{Opaque: strings.TrimPrefix(r.URL.EscapedPath(), "/relay"), RawQuery: r.URL.RawQuery},
+		URL:    &url.URL{RawQuery: r.URL.RawQuery},
 		Header: make(http.Header, len(r.Header)+headersAdded),
 	}).WithContext(ctx)
+	setPath(out.URL, strings.TrimPrefix(r.URL.EscapedPath(), "/relay"))
 	copyHeader(out.Header, r.Header)
 	delete(out.Header, "Authorization")
 	delete(out.Header, headerCall)
@@ -164,9 +165,7 @@
 // address completes a request to the target: where it goes, the time it has,
 // and the token for calls on its behalf.
 func (f *Front) address(out *http.Request, call model.Call, token string) {
-	path := out.URL.Opaque
 	out.URL.Scheme, out.URL.Host = f.base.Scheme, f.base.Host
-	out.URL.Opaque = "//" + f.base.Host + path
 	out.Header.Del("Expect")
 	out.Header.Set(headerCall, token)
 	out.Header.Set(headerDeadline, strconv.FormatInt(max(0, call.Left().Milliseconds()), 10))
