A command answers nothing but accepted or an error, in the spread too

Cause: Node.Hear answered whether the message was its own beside the error, and the loop guessed from it who else reads the message. Change: the loop gives each kind of message to its reader by a type switch.

--- a/core/spread/hear.go
+++ b/core/spread/hear.go
@@ -9,9 +9,9 @@
 	"anvilstand/core/peer"
 )
 
-// Hear takes a message of another daemon. It reports false for a message that
-// is not of this package.
-func (n *Node) Hear(now model.Instant, p peer.Post, out *peer.Outbox) (bool, error) {
+// Hear takes a message of another daemon. From one that others read it learns
+// only that the sender lives.
+func (n *Node) Hear(now model.Instant, p peer.Post, out *peer.Outbox) error {
 	n.note(now, p)
 	switch m := p.Message().(type) {
 	case peer.Beat:
@@ -19,9 +19,9 @@
 	case peer.Want:
 		n.answerWant(p, m, out)
 	case peer.Push:
-		return true, n.hearPush(now, p, m, out)
+		return n.hearPush(now, p, m, out)
 	case peer.Piece:
-		return true, n.hearPiece(m)
+		return n.hearPiece(m)
 	case peer.Roll:
 		n.hearRoll(now, p, m.Step(), out)
 	case peer.Announce:
@@ -29,9 +29,8 @@
 	case peer.Gone:
 		n.hearGone(now, m, out)
 	case peer.Share, peer.Accuse:
-		return false, nil
 	}
-	return true, nil
+	return nil
 }
 
 // note remembers that a daemon was heard.
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -110,13 +110,14 @@
 
 // hear takes a message of another daemon.
 func (l *Loop) hear(now model.Instant, p peer.Post, out *peer.Outbox) error {
-	taken, err := l.node.Hear(now, p, out)
-	if m, ok := p.Message().(peer.Accuse); ok {
+	switch m := p.Message().(type) {
+	case peer.Accuse:
 		l.accuse(now, m.Death())
-	} else if !taken {
-		l.hearShare(now, p.Message(), out)
+	case peer.Share:
+		l.hearShare(now, m, out)
+	case peer.Beat, peer.Want, peer.Push, peer.Piece, peer.Roll, peer.Announce, peer.Gone:
 	}
-	return err
+	return l.node.Hear(now, p, out)
 }
 
 // tick does what is due.
--- a/io/ctrl/share.go
+++ b/io/ctrl/share.go
@@ -93,14 +93,10 @@
 	return ok
 }
 
-// hearShare takes a message of another desk, if it is one.
-func (l *Loop) hearShare(now model.Instant, m peer.Message, out *peer.Outbox) {
-	s, ok := m.(peer.Share)
-	if !ok {
-		return
-	}
+// hearShare takes a message of another desk.
+func (l *Loop) hearShare(now model.Instant, m peer.Share, out *peer.Outbox) {
 	var acts share.Outbox
-	l.shares.desk.Hear(now, s.Message(), &acts)
+	l.shares.desk.Hear(now, m.Message(), &acts)
 	l.act(now, &acts, out)
 }
 
