--- /dev/null
+++ b/core/share/example_test.go
@@ -0,0 +1,23 @@
+package share_test
+
+import (
+	"fmt"
+	"time"
+
+	"anvilstand/core/model"
+	"anvilstand/core/share"
+)
+
+func ExampleBucket() {
+	var b share.Bucket
+	now := model.Instant(0)
+	b.Set(now, 10, 2)
+	now = now.Add(time.Second)
+	for range 3 {
+		fmt.Println(b.Spend(now))
+	}
+	// Output:
+	// <nil>
+	// <nil>
+	// refused: overrate, run: not
+}
