A daemon without a configuration asks callers to wait

Cause: a daemon that had read no configuration yet answered noroute, 404, to every path, which a caller takes for its own mistake. Change: notarget, 503, with a wait, until the first revision is in force. Figures: TestStarting, 404 before, 503 after. Conclusion: the reason is true.

--- a/io/daemon/target_test.go
+++ b/io/daemon/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -33,3 +34,18 @@
 		})
 	}
 }
+
+// TestStarting asks a daemon that has read no configuration yet.
+func TestStarting(t *testing.T) {
+	p := startPair(t, http.NotFoundHandler())
+	w, text, err := p.get(t, "/stock/items", withKey(orgKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(http.StatusServiceUnavailable, w.StatusCode); diff != "" {
+		t.Error(diff)
+	}
+	if want := `{"reason":"notarget","run":"not","wait":`; !strings.HasPrefix(text, want) {
+		t.Errorf("answered %s, want %s", text, want)
+	}
+}
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -125,9 +125,17 @@
 	return f.acceptRoot(r.Context(), j, left)
 }
 
+// startWait is the wait that a daemon asks for while it knows no configuration.
+const startWait = 200 * time.Millisecond
+
+// match finds the route. A daemon that has read no configuration yet cannot
+// tell a wrong path from a right one.
 func (j *job) match(r *http.Request) error {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	j.service, j.path = model.Service(name), "/"+rest
+	if j.view.Config().Revision() == 0 {
+		return model.Refuse(model.NoTarget{}, startWait)
+	}
 	service, ok := j.view.Config().Service(j.service)
 	if !ok {
 		return model.Refuse(model.NoRoute{}, 0)
