--- a/io/codec/fleet_test.go
+++ b/io/codec/fleet_test.go
@@ -30,26 +30,30 @@
 
 func TestFleetMessages(t *testing.T) {
 	for name, m := range fleetMessages() {
-		t.Run(name, func(t *testing.T) {
-			data, err := codec.EncodeMessage(m)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := codec.DecodeMessage(data)
-			if err != nil {
-				t.Fatal(err)
-			}
-			again, err := codec.EncodeMessage(got)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(data, again); diff != "" {
-				t.Error(diff)
-			}
-			if _, err := codec.DecodeMessage(data[:len(data)-1]); err == nil {
-				t.Error("a message cut off is taken for whole")
-			}
-		})
+		t.Run(name, func(t *testing.T) { roundTrip(t, m) })
+	}
+}
+
+// roundTrip encodes a message, decodes it and encodes it again, and cuts it off.
+func roundTrip(t *testing.T, m peer.Message) {
+	t.Helper()
+	data, err := codec.EncodeMessage(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := codec.DecodeMessage(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := codec.EncodeMessage(got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(data, again); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := codec.DecodeMessage(data[:len(data)-1]); err == nil {
+		t.Error("a message cut off is taken for whole")
 	}
 }
 
--- a/io/codec/share_test.go
+++ b/io/codec/share_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"anvilstand/core/peer"
 	"anvilstand/core/share"
 	"anvilstand/io/codec"
@@ -27,23 +25,7 @@
 		"known none": share.NewKnown("acme", 6, holder, 0, share.Record{}),
 	}
 	for name, m := range cases {
-		t.Run(name, func(t *testing.T) {
-			data, err := codec.EncodeMessage(peer.NewShare(m))
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := codec.DecodeMessage(data)
-			if err != nil {
-				t.Fatal(err)
-			}
-			again, err := codec.EncodeMessage(got)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(data, again); diff != "" {
-				t.Error(diff)
-			}
-		})
+		t.Run(name, func(t *testing.T) { roundTrip(t, peer.NewShare(m)) })
 	}
 }
 
