--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -14,15 +14,17 @@
 	"anvilstand/io/prefs"
 	"anvilstand/io/store"
 	"anvilstand/io/wire"
+	"anvilstand/platform"
 )
 
 // Serve runs one daemon beside one target.
 var Serve = &cli.Command{
-	Name:      "serve",
-	Usage:     "run the daemon beside a target",
-	UsageText: "anvilstand serve --settings examples/pilha.json",
+	Name:        "serve",
+	Usage:       "run the daemon beside a target",
+	UsageText:   "anvilstand serve --settings examples/pilha.json",
+	Description: "On the users' platform the settings file stands in ANVILSTAND_BOOT.",
 	Flags: []cli.Flag{
-		&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true},
+		&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("ANVILSTAND_BOOT")},
 		&cli.BoolFlag{Name: "json", Usage: "write the log as JSON"},
 	},
 	Action: serve,
@@ -37,10 +39,17 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: string(p.Name()), JSONFormat: cmd.Bool("json")})
-	d, err := daemon.New(p, wire.TCP{}, store.NewClient(p.Store(), &http.Client{}), log)
+	log := hclog.New(&hclog.LoggerOptions{Name: string(p.Name()), Output: os.Stdout, JSONFormat: cmd.Bool("json")})
+	d, err := open(p, log)
 	if err != nil {
 		return err
 	}
 	return d.Run(ctx)
 }
+
+func open(p *prefs.Prefs, log hclog.Logger) (*daemon.Daemon, error) {
+	if p.OnPlatform() {
+		return daemon.NewOn(p, wire.TCP{}, platform.New(p.Store(), wire.TCP{}), log)
+	}
+	return daemon.New(p, wire.TCP{}, store.NewClient(p.Store(), &http.Client{}), log)
+}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -98,6 +98,8 @@
 	tuner   tuner
 	running map[uint64]model.Instant
 	closed  bool
+	told    int
+	pace    pace
 	off     Part
 }
 
--- a/core/admit/command.go
+++ b/core/admit/command.go
@@ -12,7 +12,7 @@
 	if g.hopeless(now, t) {
 		return model.Refuse(model.Late{}, 0)
 	}
-	if len(g.running) < g.Limit() && g.queue.size == 0 {
+	if len(g.running) < g.Limit() && g.queue.size == 0 && g.pace.ready(now) {
 		g.tuner.queued(0)
 		g.start(now, t, out)
 		return nil
@@ -58,7 +58,7 @@
 // Tick drops the tickets that come too late and starts what has room.
 func (g *Gate) Tick(now model.Instant, out *Outbox) {
 	g.tuner.tick(now)
-	for g.queue.size > 0 && len(g.running) < g.Limit() {
+	for g.queue.size > 0 && len(g.running) < g.Limit() && g.pace.ready(now) {
 		t := g.queue.next(g.tuner.standing)
 		if g.hopeless(now, t) {
 			out.add(Drop{id: t.id, refusal: model.Refuse(model.Late{}, 0)})
@@ -74,6 +74,7 @@
 		g.running = map[uint64]model.Instant{}
 	}
 	g.running[t.id] = now
+	g.pace.take(now)
 	g.limiter.running(len(g.running))
 	if len(g.running) >= g.Limit() {
 		g.limiter.pressed()
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -45,24 +45,29 @@
 	floorTime = 10 * time.Second
 	// typicalWeight is the weight of a new answer in the typical latency.
 	typicalWeight = 0.05
+	// fadeAfter is how long after the last answer the typical latency begins
+	// to fade, and fadeTime the time in which it halves.
+	fadeAfter = time.Second
+	fadeTime  = 500 * time.Millisecond
 )
 
 // limiter finds how many requests a target bears at a time. It compares the
 // mean latency of a window with the least one seen, cuts when it is above
 // Tolerance or when the target rejects, and grows when the limit was reached.
 type limiter struct {
-	limit  float64
-	begun  bool
-	warm   bool
-	served int // answers since the start
-	seen   window
-	floor  floor
-	recent float64 // typical latency in seconds
-	failed int
-	cuts   trial
-	since  model.Instant // what began before says nothing of this limit
-	drains bool          // more run than the limit, after a cut
-	off    Part
+	limit    float64
+	begun    bool
+	warm     bool
+	served   int // answers since the start
+	seen     window
+	floor    floor
+	recent   float64       // typical latency in seconds
+	answered model.Instant // when it was last seen
+	failed   int
+	cuts     trial
+	since    model.Instant // what began before says nothing of this limit
+	drains   bool          // more run than the limit, after a cut
+	off      Part
 }
 
 // window is what was observed since the last decision.
@@ -101,8 +106,13 @@
 	}
 }
 
-// typical returns the latency that an answer usually takes.
-func (l *limiter) typical() time.Duration { return time.Duration(l.recent * float64(time.Second)) }
+// typical returns the latency that an answer usually takes. Without answers it
+// fades, so that a target that answered late is tried again.
+func (l *limiter) typical(now model.Instant) time.Duration {
+	age := max(0, now.Sub(l.answered)-fadeAfter)
+	fade := math.Exp2(-age.Seconds() / fadeTime.Seconds())
+	return time.Duration(l.recent * fade * float64(time.Second))
+}
 
 // pressed notes that the limit held a request back or was reached.
 func (l *limiter) pressed() { l.seen.pressed = true }
@@ -119,6 +129,7 @@
 	}
 	switch o := o.(type) {
 	case Served:
+		l.answered = now
 		l.answer(began, o.took.Seconds())
 	case Rejected:
 		l.failed = 0
@@ -162,7 +173,7 @@
 		return
 	}
 	off := l.off
-	*l = limiter{limit: FirstLimit, begun: true, recent: l.recent, off: off}
+	*l = limiter{limit: FirstLimit, begun: true, recent: l.recent, answered: l.answered, off: off}
 	l.seen.began = now
 }
 
@@ -170,7 +181,7 @@
 func (l *limiter) decide(now model.Instant) {
 	w := l.seen
 	n := w.answers + w.rejected
-	if l.drains || n < min(mostAnswers, max(leastAnswers, 2*l.value())) || now.Sub(w.began) < max(windowTime, 2*l.typical()) {
+	if l.drains || n < min(mostAnswers, max(leastAnswers, 2*l.value())) || now.Sub(w.began) < max(windowTime, 2*l.typical(now)) {
 		return
 	}
 	l.seen = window{began: now}
--- a/core/admit/query.go
+++ b/core/admit/query.go
@@ -3,7 +3,12 @@
 import "anvilstand/core/model"
 
 // Limit returns how many requests may run at a time.
-func (g *Gate) Limit() int { return g.limiter.value() }
+func (g *Gate) Limit() int {
+	if g.told > 0 {
+		return g.pace.bound(max(MinLimit, g.told*toldPercent/100))
+	}
+	return g.pace.bound(g.limiter.value())
+}
 
 // Running returns how many requests run.
 func (g *Gate) Running() int { return len(g.running) }
@@ -25,7 +30,7 @@
 	if g.off&PartLate != 0 {
 		return false
 	}
-	return !now.Add(g.limiter.typical()).Before(t.deadline)
+	return !now.Add(g.limiter.typical(now)).Before(t.deadline)
 }
 
 // queueBound returns how many requests may wait.
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -18,6 +18,7 @@
 	services map[model.Service]Service
 	domains  map[model.Domain]Domain
 	targets  map[model.Instance]Target
+	hosts    map[string][]Route
 }
 
 // Revision returns the number of the last change.
@@ -65,7 +66,9 @@
 type Org struct {
 	rate     float64
 	burst    float64
+	free     bool
 	rank     model.Rank
+	outranks bool
 	keys     []Digest
 	isolated Isolated
 }
@@ -76,6 +79,15 @@
 // Burst returns the requests that the organisation may start at once.
 func (o Org) Burst() float64 { return o.burst }
 
+// Unbounded reports whether the organisation is held to no rate.
+func (o Org) Unbounded() bool { return o.free }
+
+// AsUnbounded returns the organisation held to no rate.
+func (o Org) AsUnbounded() Org {
+	o.free = true
+	return o
+}
+
 // Rank returns the importance of the organisation's requests.
 func (o Org) Rank() model.Rank { return o.rank }
 
@@ -102,6 +114,17 @@
 	return o
 }
 
+// Outranks reports whether the organisation's rank goes before those of
+// routes.
+func (o Org) Outranks() bool { return o.outranks }
+
+// AsOutranking returns the organisation with a rank that goes before those of
+// routes.
+func (o Org) AsOutranking() Org {
+	o.outranks = true
+	return o
+}
+
 // WithIsolated returns the organisation with another rule for cut-off domains.
 func (o Org) WithIsolated(i Isolated) Org {
 	o.isolated = i
@@ -138,7 +161,10 @@
 func (t Target) Out() bool { return t.out }
 
 // Service is a service and its routes.
-type Service struct{ routes []Route }
+type Service struct {
+	routes []Route
+	warm   Warm
+}
 
 // Routes returns the routes, the longest prefix first.
 func (s Service) Routes() []Route { return slices.Clone(s.routes) }
--- a/core/conf/edit.go
+++ b/core/conf/edit.go
@@ -21,6 +21,7 @@
 		services: cloned(c.services),
 		domains:  cloned(c.domains),
 		targets:  cloned(c.targets),
+		hosts:    cloned(c.hosts),
 	}}
 }
 
@@ -92,13 +93,15 @@
 	routes := slices.DeleteFunc(slices.Clone(s.routes), r.Same)
 	routes = append(routes, r)
 	slices.SortStableFunc(routes, byPrefix)
-	d.next.services[name] = Service{routes: routes}
+	s.routes = routes
+	d.next.services[name] = s
 }
 
 // DropRoute removes a route from a service.
 func (d *Draft) DropRoute(name model.Service, r Route) {
 	s := d.next.services[name]
-	d.next.services[name] = Service{routes: slices.DeleteFunc(slices.Clone(s.routes), r.Same)}
+	s.routes = slices.DeleteFunc(slices.Clone(s.routes), r.Same)
+	d.next.services[name] = s
 }
 
 func byPrefix(a, b Route) int {
--- a/core/conf/route.go
+++ b/core/conf/route.go
@@ -2,12 +2,18 @@
 
 import (
 	"strings"
+	"time"
 
 	"anvilstand/core/model"
 )
 
-// Route is one method and path prefix of a service.
+// Route is one method and path prefix of a service, or a path prefix of a host.
 type Route struct {
+	host       string
+	parts      *[]Part // by pointer, so that routes compare
+	timeout    time.Duration
+	attempts   int
+	goal       time.Duration
 	method     string
 	prefix     string
 	idempotent bool
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -15,6 +15,7 @@
 	rev    Revision
 	once   string
 	mark   Print
+	host   string
 }
 
 // NewCall returns the call of a request of an organisation. An open route's
@@ -85,6 +86,16 @@
 	return c
 }
 
+// Host returns the host that the request goes to the target with, empty when
+// it is the target's own address.
+func (c Call) Host() string { return c.host }
+
+// WithHost returns the call with the host that its request goes on with.
+func (c Call) WithHost(host string) Call {
+	c.host = host
+	return c
+}
+
 // Once returns what identifies the request and its idempotency key, empty when
 // it has none or needs none.
 func (c Call) Once() string { return c.once }
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -46,6 +46,8 @@
 	// Isolated is a request of an organisation that is not to be served while
 	// the failure domain is cut off.
 	Isolated struct{}
+	// Declined is a request that the target says it did not run.
+	Declined struct{}
 	// Broken is a connection that failed after the request may have reached
 	// the target.
 	Broken struct{}
@@ -70,6 +72,7 @@
 func (Repeat) isReason()     {}
 func (Spent) isReason()      {}
 func (Isolated) isReason()   {}
+func (Declined) isReason()   {}
 func (Broken) isReason()     {}
 func (Canceled) isReason()   {}
 
@@ -93,52 +96,40 @@
 		Repeat{},
 		Spent{},
 		Isolated{},
+		Declined{},
 		Broken{},
 		Canceled{},
 	}
 }
 
+// reasonNames are the names that reports and counters give the reasons.
+var reasonNames = map[Reason]string{
+	NoKey{}:      "nokey",
+	BadKey{}:     "badkey",
+	NoRoute{}:    "noroute",
+	BadRequest{}: "badrequest",
+	TooLarge{}:   "toolarge",
+	OverRate{}:   "overrate",
+	NoShare{}:    "noshare",
+	Shed{}:       "shed",
+	QueueFull{}:  "queuefull",
+	Late{}:       "late",
+	NoTarget{}:   "notarget",
+	Leaving{}:    "leaving",
+	DomainOut{}:  "domainout",
+	Poison{}:     "poison",
+	Repeat{}:     "repeat",
+	Spent{}:      "spent",
+	Isolated{}:   "isolated",
+	Declined{}:   "declined",
+	Broken{}:     "broken",
+	Canceled{}:   "canceled",
+}
+
 // ReasonName returns the name that reports and counters give a reason.
 func ReasonName(r Reason) string {
-	switch r.(type) {
-	case NoKey:
-		return "nokey"
-	case BadKey:
-		return "badkey"
-	case NoRoute:
-		return "noroute"
-	case BadRequest:
-		return "badrequest"
-	case TooLarge:
-		return "toolarge"
-	case OverRate:
-		return "overrate"
-	case NoShare:
-		return "noshare"
-	case Shed:
-		return "shed"
-	case QueueFull:
-		return "queuefull"
-	case Late:
-		return "late"
-	case NoTarget:
-		return "notarget"
-	case Leaving:
-		return "leaving"
-	case DomainOut:
-		return "domainout"
-	case Poison:
-		return "poison"
-	case Repeat:
-		return "repeat"
-	case Spent:
-		return "spent"
-	case Isolated:
-		return "isolated"
-	case Broken:
-		return "broken"
-	case Canceled:
-		return "canceled"
+	if name, ok := reasonNames[r]; ok {
+		return name
 	}
 	return "none"
 }
--- a/core/retry/query.go
+++ b/core/retry/query.go
@@ -37,7 +37,7 @@
 // another answer. Shedding holds for the service.
 func repeatable(r model.Reason) bool {
 	switch r.(type) {
-	case model.QueueFull, model.NoTarget, model.Leaving, model.DomainOut, model.Broken:
+	case model.QueueFull, model.NoTarget, model.Leaving, model.DomainOut, model.Broken, model.Declined:
 		return true
 	case model.Shed, model.NoKey, model.BadKey, model.NoRoute, model.BadRequest, model.TooLarge, model.OverRate, model.NoShare,
 		model.Late, model.Poison, model.Repeat, model.Spent, model.Isolated, model.Canceled:
@@ -84,7 +84,7 @@
 		return refusal.Wait()
 	}
 	switch refusal.Reason().(type) {
-	case model.Shed, model.QueueFull, model.Leaving, model.Spent, model.Broken, model.Late, model.OverRate, model.Repeat:
+	case model.Shed, model.QueueFull, model.Leaving, model.Spent, model.Broken, model.Declined, model.Late, model.OverRate, model.Repeat:
 		return shortWait
 	case model.NoTarget, model.DomainOut, model.NoShare, model.Isolated:
 		return longWait
--- a/core/share/desk.go
+++ b/core/share/desk.go
@@ -140,7 +140,10 @@
 // Configure takes the configuration and the members in force. A lower rate or
 // burst counts here at once; lumps that are out lapse within Life.
 func (d *Desk) Configure(now model.Instant, c *conf.Config, members []fleet.Member) {
-	d.orgs = c.Orgs()
+	d.orgs = slices.DeleteFunc(c.Orgs(), func(name model.Org) bool {
+		o, _ := c.Org(name)
+		return o.Unbounded()
+	})
 	for name := range d.accounts {
 		if !slices.Contains(d.orgs, name) {
 			delete(d.accounts, name)
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -76,6 +76,10 @@
 // handle takes a command. What it has to tell other daemons goes to out.
 func (l *Loop) handle(now model.Instant, c Command, out *peer.Outbox) error {
 	switch c := c.(type) {
+	case Configured:
+		l.given.configure(c.config)
+	case Evacuated:
+		l.given.evacuate(c.out)
 	case Learned:
 		return l.node.Learn(now, c.entry, out)
 	case Based:
--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -52,6 +52,7 @@
 	shares  shares
 	watch   func(*View)
 	crash   *crash.Book
+	given   given
 }
 
 type envelope struct {
@@ -64,7 +65,7 @@
 func New(self fleet.Member, p spread.Packer, seeds []string) *Loop {
 	l := &Loop{
 		inbox: make(chan envelope, waiting), change: make(chan struct{}),
-		clock: clock.New(), node: spread.New(self, p, seeds),
+		clock: clock.NewBoot(), node: spread.New(self, p, seeds),
 	}
 	l.shares = newShares(self, l.clock)
 	l.crash = &crash.Book{}
@@ -187,7 +188,7 @@
 }
 
 func (l *Loop) route() routes {
-	config, roster := l.node.Config(), l.node.Roster()
+	config, roster := l.config(), l.node.Roster()
 	if l.routes.byService != nil && l.routes.config == config && l.routes.roster == roster.Changes() {
 		return l.routes
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
+	"anvilstand/io/form"
 	"anvilstand/io/front"
 	"anvilstand/io/link"
 	"anvilstand/io/meter"
@@ -41,11 +42,25 @@
 	oper  *oper.Oper
 	lns   []net.Listener
 	raw   []net.Listener // the same listeners, to be drained
+	on    Platform       // nil without one
 }
 
 // New opens the daemon's listeners. An address with port 0 takes any free port.
 func New(p *prefs.Prefs, n wire.Network, s store.Store, log hclog.Logger) (*Daemon, error) {
-	d := &Daemon{prefs: p, store: s, log: log}
+	return open(&Daemon{prefs: p, store: s, log: log}, n, form.Plain{})
+}
+
+// NewOn opens the listeners of a daemon that runs on a platform.
+func NewOn(p *prefs.Prefs, n wire.Network, on Platform, log hclog.Logger) (*Daemon, error) {
+	d, err := open(&Daemon{prefs: p, store: on, log: log, on: on}, n, on)
+	if err == nil {
+		d.front.Follow()
+	}
+	return d, err
+}
+
+func open(d *Daemon, n wire.Network, fm form.Form) (*Daemon, error) {
+	p := d.prefs
 	served, mutual, err := secure(p, n)
 	if err != nil {
 		return nil, err
@@ -58,8 +73,8 @@
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.loop.SetHold(p.Hold())
-	d.front = front.New(p, d.peer, n, d.loop, m)
-	d.oper = oper.New(p, d.loop, s, m, d.front.Trace, log)
+	d.front = front.New(p, fm, d.peer, n, d.loop, m)
+	d.oper = oper.New(p, d.loop, d.store, m, d.front.Trace, d.log)
 	return d, nil
 }
 
@@ -76,9 +91,16 @@
 }
 
 func (d *Daemon) listen(front, peer, oper wire.Network) error {
-	networks := map[string]wire.Network{"front": front, "peer": peer, "oper": oper}
-	addresses := map[string]string{"front": d.prefs.Front(), "peer": d.prefs.Peer(), "oper": d.prefs.Oper()}
-	for _, name := range []string{"front", "peer", "oper"} {
+	networks := map[string]wire.Network{"front": front, "peer": peer, "oper": oper, "ready": front, "beats": front}
+	addresses := map[string]string{
+		"front": d.prefs.Front(), "peer": d.prefs.Peer(), "oper": d.prefs.Oper(),
+		"ready": d.prefs.Ready(), "beats": d.prefs.Beats(),
+	}
+	names := []string{"front", "peer", "oper"}
+	if d.on != nil {
+		names = append(names, "ready", "beats")
+	}
+	for _, name := range names {
 		ln, err := networks[name].Listen(addresses[name])
 		if err != nil {
 			d.closeListeners()
@@ -117,7 +139,7 @@
 	}
 	links := link.New(work, g, d.peer, d.self, d.prefs.Secret(), d.log, registry{loop: d.loop})
 	g.Go(func() error { return d.loop.Run(work, links) })
-	g.Go(func() error { return watch.Follow(work, d.store, d.loop, len(d.prefs.Seeds()) > 0) })
+	g.Go(func() error { return d.follow(work) })
 	g.Go(func() error { return watch.Shares(work, d.store, d.loop) })
 	g.Go(func() error {
 		select {
@@ -200,6 +222,9 @@
 // servers returns the servers of the listeners. Their requests end with ctx.
 func (d *Daemon) servers(ctx context.Context) []*http.Server {
 	handlers := []http.Handler{d.front.Callers(), d.peers(), d.oper.Handler()}
+	if d.on != nil {
+		handlers = append(handlers, http.HandlerFunc(d.serveReady), d.on.Beats(target{d}))
+	}
 	servers := make([]*http.Server, 0, len(handlers))
 	for _, h := range handlers {
 		servers = append(servers, &http.Server{
--- /dev/null
+++ b/io/daemon/platform.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/life"
+	"anvilstand/core/model"
+	"anvilstand/io/ctrl"
+	"anvilstand/io/form"
+	"anvilstand/io/store"
+	"anvilstand/io/watch"
+)
+
+// Platform is what a daemon needs of the platform that it runs on.
+type Platform interface {
+	store.Store
+	form.Form
+	// Follow hands on what the operators wrote, until ctx ends.
+	Follow(ctx context.Context, sink Sink) error
+	// Beats serves what the target says of itself.
+	Beats(h Hearer) http.Handler
+}
+
+// Sink takes what the operators wrote on the platform.
+type Sink interface {
+	// Configure takes a configuration. One older than that in force changes
+	// nothing.
+	Configure(ctx context.Context, c *conf.Config) error
+	// Evacuate takes the failure domains that are out of service.
+	Evacuate(ctx context.Context, out []model.Domain) error
+	// Unread takes the error of a configuration that does not read.
+	Unread(err error)
+	// Reached tells that the store answered, or by an error that it did not.
+	Reached(err error)
+}
+
+// Hearer takes what the target beside the daemon says of itself.
+type Hearer interface {
+	// Hear takes the target's word.
+	Hear(w life.Word)
+	// Leave takes the word of a target with an id that it leaves.
+	Leave(id string)
+}
+
+// follow keeps the store and the control state in step.
+func (d *Daemon) follow(ctx context.Context) error {
+	if d.on == nil {
+		return watch.Follow(ctx, d.store, d.loop, len(d.prefs.Seeds()) > 0)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return watch.Members(ctx, d.store, d.loop) })
+	g.Go(func() error { return d.on.Follow(ctx, &sink{daemon: d}) })
+	return g.Wait()
+}
+
+// sink brings what the operators wrote to the control state.
+type sink struct {
+	daemon *Daemon
+	away   atomic.Bool
+}
+
+// Configure takes a configuration.
+func (s *sink) Configure(ctx context.Context, c *conf.Config) error {
+	old := s.daemon.loop.View().Config().Revision()
+	if err := s.daemon.loop.Tell(ctx, ctrl.NewConfigured(c)); err != nil {
+		return err
+	}
+	s.daemon.log.Info("configuration", "revision", uint64(c.Revision()), "before", uint64(old))
+	return nil
+}
+
+// Evacuate takes the failure domains that are out of service.
+func (s *sink) Evacuate(ctx context.Context, out []model.Domain) error {
+	if err := s.daemon.loop.Tell(ctx, ctrl.NewEvacuated(out)); err != nil {
+		return err
+	}
+	s.daemon.log.Info("evacuated", "domains", out)
+	return nil
+}
+
+// Unread counts and logs a configuration that does not read. The last good one
+// stays in force.
+func (s *sink) Unread(err error) {
+	s.daemon.loop.Offer(ctrl.Refused{})
+	s.daemon.log.Error("configuration refused", "error", err)
+}
+
+// Reached logs that the store was lost or is back.
+func (s *sink) Reached(err error) {
+	if err == nil {
+		s.daemon.loop.Offer(ctrl.Reached{})
+	}
+	if s.away.Swap(err != nil) == (err != nil) {
+		return
+	}
+	if err != nil {
+		s.daemon.log.Warn("store lost", "error", err)
+		return
+	}
+	s.daemon.log.Info("store reached")
+}
+
+// target brings the target's word to the traffic.
+type target struct{ *Daemon }
+
+// Hear takes the target's word.
+func (t target) Hear(w life.Word) {
+	if t.front.Hear(w) {
+		t.log.Info("target", "id", w.ID(), "state", life.StateName(w.State()), "sequence", w.Sequence(), "cold", w.Cold())
+	}
+}
+
+// Leave takes the word of a target that it leaves.
+func (t target) Leave(id string) {
+	t.front.Leave(id)
+	t.log.Info("target", "id", id, "state", life.StateName(life.Gone{}))
+}
+
+// serveReady tells the platform whether the daemon takes callers: when it knows
+// a configuration, and until it leaves.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.front.Leaving() || d.loop.View().Config().Revision() == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/io/form/form.go
@@ -0,0 +1,174 @@
+// Package form is how callers and targets spell requests and answers. What
+// decides on a request and carries it stands in package front and knows no
+// header of theirs.
+package form
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"anvilstand/core/model"
+)
+
+// Form reads and writes what callers and targets say beside a request itself.
+type Form interface {
+	// Read returns what a caller's request says of itself. The error is a
+	// *model.Refusal.
+	Read(r *http.Request) (Ask, error)
+	// Forward takes the keys out of a request that goes on, and says where it
+	// comes from.
+	Forward(h http.Header, u *url.URL, keys []string, by Origin)
+	// Address completes a request to the target.
+	Address(h http.Header, call model.Call, v Visit)
+	// Told returns what a target's answer to a call says beside the answer.
+	Told(call model.Call, from *http.Response) Told
+	// Refuse answers a caller's request with a refusal. Last means that the
+	// connection is not used again.
+	Refuse(w http.ResponseWriter, id model.Request, r *model.Refusal, last bool)
+	// Mark adds to an answer what its caller is told beside it.
+	Mark(h http.Header, id model.Request)
+}
+
+// Ask is what a caller's request says of itself.
+type Ask struct {
+	id    model.Request
+	host  string
+	keys  []string
+	left  time.Duration
+	token string
+	once  string
+}
+
+// NewAsk returns the ask of a request with an id, which is empty when the
+// caller gave none.
+func NewAsk(id model.Request) Ask { return Ask{id: id} }
+
+// ID returns the id that the caller gave the request, or nothing.
+func (a Ask) ID() model.Request { return a.id }
+
+// Host returns the host whose routes count, empty where the path begins with
+// the service.
+func (a Ask) Host() string { return a.host }
+
+// Keys returns the keys that came with the request, the one that counts first.
+func (a Ask) Keys() []string { return a.keys }
+
+// Left returns the time that the caller gives the request, zero when it gives
+// none.
+func (a Ask) Left() time.Duration { return a.left }
+
+// Token returns what names the running request for which a target makes this
+// one, or nothing.
+func (a Ask) Token() string { return a.token }
+
+// Once returns the caller's idempotency key, or nothing.
+func (a Ask) Once() string { return a.once }
+
+// WithHost returns the ask by the routes of a host.
+func (a Ask) WithHost(host string) Ask {
+	a.host = host
+	return a
+}
+
+// WithKeys returns the ask with the keys that came with the request.
+func (a Ask) WithKeys(keys []string) Ask {
+	a.keys = keys
+	return a
+}
+
+// WithLeft returns the ask with the time that the caller gives.
+func (a Ask) WithLeft(d time.Duration) Ask {
+	a.left = d
+	return a
+}
+
+// WithToken returns the ask on behalf of a running request.
+func (a Ask) WithToken(token string) Ask {
+	a.token = token
+	return a
+}
+
+// WithOnce returns the ask with an idempotency key.
+func (a Ask) WithOnce(key string) Ask {
+	a.once = key
+	return a
+}
+
+// Origin is where a request entered, and for whom.
+type Origin struct {
+	service model.Service
+	org     model.Org
+}
+
+// NewOrigin returns the origin of a request that entered beside a service's
+// target, for an organisation, which is empty on an open route.
+func NewOrigin(s model.Service, org model.Org) Origin { return Origin{service: s, org: org} }
+
+// Service returns the service beside which the request entered.
+func (o Origin) Service() model.Service { return o.service }
+
+// Org returns the organisation whose key came with the request.
+func (o Origin) Org() model.Org { return o.org }
+
+// Visit is one run of a request at a target.
+type Visit struct {
+	token  string
+	target string
+}
+
+// NewVisit returns a visit: the token for calls on behalf of the request, and
+// the id of the target that is to run it, empty when it is not known.
+func NewVisit(token, target string) Visit { return Visit{token: token, target: target} }
+
+// Token returns the token for calls on behalf of the request.
+func (v Visit) Token() string { return v.token }
+
+// Target returns the id of the target that is to run the request.
+func (v Visit) Target() string { return v.target }
+
+// Told is what a target's answer says beside the answer. The zero value says
+// nothing.
+type Told struct {
+	declined bool
+	moved    bool
+	foreign  bool
+	leaving  bool
+}
+
+// Declined reports whether the target says that it did not run the request.
+func (t Told) Declined() bool { return t.declined }
+
+// Moved reports whether another target than the one expected answered.
+func (t Told) Moved() bool { return t.moved }
+
+// Foreign reports whether the answer belongs to another request.
+func (t Told) Foreign() bool { return t.foreign }
+
+// Leaving reports whether the target wants no new work.
+func (t Told) Leaving() bool { return t.leaving }
+
+// AsDeclined returns what is told of a request that the target did not run.
+func (t Told) AsDeclined() Told {
+	t.declined = true
+	return t
+}
+
+// AsMoved returns what is told by another target than the one expected, which
+// did not run the request.
+func (t Told) AsMoved() Told {
+	t.declined, t.moved = true, true
+	return t
+}
+
+// AsForeign returns what is told by the answer of another request.
+func (t Told) AsForeign() Told {
+	t.foreign = true
+	return t
+}
+
+// AsLeaving returns what is told by a target that wants no new work.
+func (t Told) AsLeaving() Told {
+	t.leaving = true
+	return t
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -15,6 +15,7 @@
 	"anvilstand/core/route"
 	"anvilstand/core/trace"
 	"anvilstand/io/codec"
+	"anvilstand/io/form"
 )
 
 // attempt sends a request to one target's daemon, with a part of the retries.
@@ -76,7 +77,7 @@
 	}
 	out.URL.Scheme, out.URL.Host = "http", m.Address()
 	setPath(out.URL, "/relay"+j.path)
-	out.Header.Set(headerCall, codec.EncodeCall(call))
+	out.Header.Set(form.HeaderCall, codec.EncodeCall(call))
 	out.Header.Set("Authorization", f.secret)
 	from, err := f.exchange(out, p.stream != nil, f.peersFor(j))
 	if err != nil {
@@ -107,11 +108,12 @@
 func (f *Front) exchange(out *http.Request, streams bool, t http.RoundTripper) (*http.Response, error) {
 	if streams {
 		out.Header.Set("Expect", "100-continue")
-		return send(t, out, nil)
+		from, _, err := send(t, out, nil)
+		return from, err
 	}
 	ctx, cancel := context.WithCancelCause(out.Context())
 	quiet := time.AfterFunc(silence, func() { cancel(errSilent) })
-	from, err := send(t, out.WithContext(ctx), func() { quiet.Reset(silence) })
+	from, _, err := send(t, out.WithContext(ctx), func() { quiet.Reset(silence) })
 	quiet.Stop()
 	if err != nil {
 		cancel(nil)
@@ -126,11 +128,12 @@
 	r := p.request
 	out := (&http.Request{
 		Method: r.Method,
-		URL:    &url.URL{RawQuery: r.URL.RawQuery},
+		Host:   j.call.Host(),
+		URL:    &url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		Header: make(http.Header, len(r.Header)+headersAdded),
 	}).WithContext(ctx)
 	copyHeader(out.Header, r.Header)
-	stripKeys(out.Header, out.URL, j.keys)
+	f.form.Forward(out.Header, out.URL, j.ask.Keys(), form.NewOrigin(f.prefs.Service(), j.call.Org()))
 	p.fill(out)
 	return out
 }
--- a/io/front/drain.go
+++ b/io/front/drain.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -9,9 +8,6 @@
 	"anvilstand/io/clock"
 )
 
-// headerDrain is how a target says, on any answer, that it wants no new work.
-const headerDrain = "Drain"
-
 // drainPause is how long a target that drains gets no new work. After that one
 // request finds out whether it still does.
 const drainPause = 5 * time.Second
@@ -24,10 +20,10 @@
 
 // note takes what an answer says of the target. An answer to a request of
 // before the pause does not end it.
-func (d *drain) note(h http.Header, sent model.Instant) {
+func (d *drain) note(leaving bool, sent model.Instant) {
 	until := d.until.Load()
 	switch {
-	case h.Get(headerDrain) != "":
+	case leaving:
 		d.until.Store(int64(d.clock.Now().Add(drainPause)))
 	case until != 0 && !sent.Before(model.Instant(until).Add(-drainPause)):
 		d.until.CompareAndSwap(until, 0)
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"anvilstand/core/conf"
@@ -12,6 +10,7 @@
 	"anvilstand/core/retry"
 	"anvilstand/core/trace"
 	"anvilstand/io/ctrl"
+	"anvilstand/io/form"
 )
 
 // job is a request on its way through the entry daemon.
@@ -21,7 +20,7 @@
 	service model.Service
 	route   conf.Route
 	path    string
-	keys    []string
+	ask     form.Ask
 	budget  retry.Budget
 	until   time.Time
 	firm    bool
@@ -71,23 +70,21 @@
 	refusal = refusal.WithWait(f.jitter(retry.Wait(refusal)))
 	f.meter.Refuse(j.call.Org(), refusal.Reason())
 	f.note(j.call, trace.NewRefused(refusal))
-	writeRefusal(w, refusal, func(h http.Header) {
-		if id := j.call.ID(); id != "" {
-			h.Set(headerRequest, string(id))
-		}
-		if f.leaving.Load() {
-			h.Set("Connection", "close")
-		}
-	})
+	f.form.Refuse(w, j.call.ID(), refusal, f.leaving.Load())
 }
 
 // accept decides whether a request may go on at all: its route, its key and
 // its organisation's share.
 func (f *Front) accept(r *http.Request) (*job, error) {
-	j := &job{view: f.loop.View(), keys: keysOf(r)}
-	token := r.Header.Get(headerCall)
+	j := &job{view: f.loop.View()}
+	var err error
+	j.ask, err = f.form.Read(r)
+	token := j.ask.Token()
 	if token == "" {
-		j.call = model.NewCall(model.Request(randomID()), "", model.RankDefault)
+		j.call = model.NewCall(j.id(), "", model.RankDefault)
+	}
+	if err != nil {
+		return j, err
 	}
 	if f.refusing.Load() && token == "" {
 		return j, model.Refuse(model.Leaving{}, 0)
@@ -99,13 +96,10 @@
 	if r.ContentLength > f.prefs.MaxBody() {
 		return j, model.Refuse(model.TooLarge{}, 0)
 	}
-	if err := j.match(r); err != nil {
+	if err := f.match(j, r); err != nil {
 		return j, err
 	}
-	if holdsKey(j.path, j.keys) {
-		return j, model.Refuse(model.BadRequest{}, 0)
-	}
-	err := f.acceptCall(j, r, token)
+	err = f.acceptCall(j, r, token)
 	if err == nil {
 		j.markOnce(r)
 		f.note(j.call, trace.NewAccepted(j.call.Org(), j.service, j.call.Rank()))
@@ -114,38 +108,14 @@
 }
 
 func (f *Front) acceptCall(j *job, r *http.Request, token string) error {
-	left, firm, err := f.timeLeft(r)
-	if err != nil {
-		return err
-	}
-	j.firm = firm
+	left := f.timeLeft(j)
+	j.firm = j.ask.Left() > 0
 	if token != "" {
 		return f.acceptChild(j, token, left)
 	}
 	return f.acceptRoot(r.Context(), j, left)
 }
 
-// startWait is the wait that a daemon asks for while it knows no configuration.
-const startWait = 200 * time.Millisecond
-
-// match finds the route. A daemon that has read no configuration yet cannot
-// tell a wrong path from a right one.
-func (j *job) match(r *http.Request) error {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	j.service, j.path = model.Service(name), "/"+rest
-	if j.view.Config().Revision() == 0 {
-		return model.Refuse(model.NoTarget{}, startWait)
-	}
-	service, ok := j.view.Config().Service(j.service)
-	if !ok {
-		return model.Refuse(model.NoRoute{}, 0)
-	}
-	if j.route, ok = service.Match(r.Method, j.path); !ok {
-		return model.Refuse(model.NoRoute{}, 0)
-	}
-	return nil
-}
-
 func (f *Front) acceptChild(j *job, token string, left time.Duration) error {
 	call, part, ok := f.running.child(token)
 	if !ok {
@@ -166,14 +136,14 @@
 	if j.view.Isolated(org, f.prefs.Isolation()) {
 		return model.Refuse(model.Isolated{}, 0)
 	}
-	j.call = f.picker.order(model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left))
+	j.call = f.picker.order(model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left)).WithHost(j.ask.Host())
 	j.until = time.Now().Add(left)
 	j.budget = retry.NewBudget(f.prefs.Budget())
 	if org == "" {
 		return nil
 	}
 	j.call = j.call.WithKey(tag, j.view.Config().Revision())
-	if err := f.purse.spend(ctx, org); err != nil {
+	if err := f.spend(ctx, j, org); err != nil {
 		return err
 	}
 	return granted(f.loop.View().Config(), j.call)
@@ -183,10 +153,10 @@
 	if j.route.Open() {
 		return "", "", nil
 	}
-	if len(j.keys) == 0 {
+	if len(j.ask.Keys()) == 0 {
 		return "", "", model.Refuse(model.NoKey{}, 0)
 	}
-	digest := conf.DigestOf(j.keys[0])
+	digest := conf.DigestOf(j.ask.Keys()[0])
 	org, ok := j.view.Config().Holder(digest)
 	if !ok {
 		return "", "", model.Refuse(model.BadKey{}, 0)
@@ -204,25 +174,36 @@
 	return model.Refuse(model.BadKey{}, 0)
 }
 
+// spend takes a token of an organisation that is held to a rate.
+func (f *Front) spend(ctx context.Context, j *job, org model.Org) error {
+	if o, ok := j.view.Config().Org(org); ok && o.Unbounded() {
+		return nil
+	}
+	return f.purse.spend(ctx, org)
+}
+
 func (j *job) rank(org model.Org) model.Rank {
+	o, known := j.view.Config().Org(org)
+	if known && o.Outranks() {
+		return o.Rank()
+	}
 	if rank, ok := j.route.Rank(); ok {
 		return rank
 	}
-	if o, ok := j.view.Config().Org(org); ok {
+	if known {
 		return o.Rank()
 	}
 	return model.RankDefault
 }
 
-// timeLeft returns the time that a request has, and whether its caller set it.
-func (f *Front) timeLeft(r *http.Request) (time.Duration, bool, error) {
-	text := r.Header.Get(headerDeadline)
-	if text == "" {
-		return f.prefs.Deadline(), false, nil
+// timeLeft returns the time that a request has, by its caller and its route.
+func (f *Front) timeLeft(j *job) time.Duration {
+	left := f.prefs.Deadline()
+	if asked := j.ask.Left(); asked > 0 {
+		left = min(left, asked)
 	}
-	n, err := strconv.ParseUint(text, 10, 31)
-	if err != nil {
-		return 0, false, model.Refuse(model.BadRequest{}, 0)
+	if bound := j.route.Timeout(); bound > 0 {
+		left = min(left, bound)
 	}
-	return min(f.prefs.Deadline(), time.Duration(n)*time.Millisecond), true, nil
+	return left
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -75,7 +75,7 @@
 
 func (f *Front) pass(ctx context.Context, w http.ResponseWriter, from *http.Response, j *job, l *limit) error {
 	f.note(j.call, trace.NewAnswered(from.StatusCode))
-	from.Header.Set(headerRequest, string(j.call.ID()))
+	f.form.Mark(from.Header, j.call.ID())
 	if err := answer(w, from, l); err != nil {
 		return failure(ctx, true)
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -11,6 +11,7 @@
 	"anvilstand/core/once"
 	"anvilstand/io/clock"
 	"anvilstand/io/ctrl"
+	"anvilstand/io/form"
 	"anvilstand/io/meter"
 	"anvilstand/io/prefs"
 	"anvilstand/io/wire"
@@ -20,6 +21,9 @@
 // the control loop and never change control state.
 type Front struct {
 	prefs   *prefs.Prefs
+	form    form.Form
+	beside  beside
+	splits  splits
 	loop    *ctrl.Loop
 	meter   *meter.Meter
 	clock   clock.Clock
@@ -50,15 +54,16 @@
 
 // New returns the traffic side of a daemon, which reaches the other daemons and
 // its target over a network each.
-func New(p *prefs.Prefs, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
+func New(p *prefs.Prefs, fm form.Form, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
 	c := clock.New()
 	base, _ := url.Parse(p.Target())
 	f := &Front{
 		prefs:  p,
+		form:   fm,
 		loop:   l,
 		meter:  m,
 		clock:  c,
-		secret: bearer + p.Secret(),
+		secret: form.Bearer + p.Secret(),
 		base:   base,
 		gate:   gate{clock: c},
 		purse:  purse{tokens: l.Purse()},
@@ -75,6 +80,7 @@
 		freshTarget: newTransport(target, freshTimeout),
 		ward:        ward{clock: c, loop: l},
 	}
+	f.beside = beside{clock: c, gate: &f.gate, loop: l, service: p.Service()}
 	l.Watch(f.Observe)
 	return f
 }
--- a/io/front/gate.go
+++ b/io/front/gate.go
@@ -18,6 +18,7 @@
 	core    admit.Gate
 	next    uint64
 	waiting map[uint64]chan *model.Refusal
+	timer   *time.Timer
 }
 
 // enter waits until the call may run and returns its ticket, or a refusal of
@@ -99,7 +100,40 @@
 	g.core.Close()
 }
 
+// told sets the limit by the slots that the target tells, and the pace while it
+// is cold.
+func (g *gate) told(slots int, rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out admit.Outbox
+	g.core.Told(slots)
+	g.core.Pace(g.clock.Now(), rate, &out)
+	g.act(&out)
+}
+
+// wake starts what the pace allows by now.
+func (g *gate) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out admit.Outbox
+	g.core.Tick(g.clock.Now(), &out)
+	g.act(&out)
+}
+
+// rearm has the gate woken when the next paced request may start.
+func (g *gate) rearm() {
+	d, due := g.core.Due(g.clock.Now())
+	switch {
+	case !due:
+	case g.timer == nil:
+		g.timer = time.AfterFunc(d, g.wake)
+	default:
+		g.timer.Reset(d)
+	}
+}
+
 func (g *gate) act(out *admit.Outbox) {
+	defer g.rearm()
 	for _, a := range out.Actions() {
 		switch a := a.(type) {
 		case admit.Start:
--- /dev/null
+++ b/io/front/match.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"anvilstand/core/conf"
+	"anvilstand/core/model"
+	"anvilstand/io/form"
+)
+
+// startWait is the wait that a daemon asks for while it knows no configuration.
+const startWait = 200 * time.Millisecond
+
+// id returns the id that the caller gave the request, or a new one.
+func (j *job) id() model.Request {
+	if id := j.ask.ID(); id != "" {
+		return id
+	}
+	return model.Request(randomID())
+}
+
+// match finds the route. A daemon that has read no configuration yet cannot
+// tell a wrong path from a right one.
+func (f *Front) match(j *job, r *http.Request) error {
+	if j.view.Config().Revision() == 0 {
+		return model.Refuse(model.NoTarget{}, startWait)
+	}
+	if j.ask.Host() != "" {
+		return f.matchHost(j, r)
+	}
+	return j.matchService(r)
+}
+
+// matchService finds the route of the service that the path begins with.
+func (j *job) matchService(r *http.Request) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	j.service, j.path = model.Service(name), "/"+rest
+	service, ok := j.view.Config().Service(j.service)
+	if !ok {
+		return model.Refuse(model.NoRoute{}, 0)
+	}
+	if j.route, ok = service.Match(r.Method, j.path); !ok {
+		return model.Refuse(model.NoRoute{}, 0)
+	}
+	if form.HoldsKey(j.path, j.ask.Keys()) {
+		return model.Refuse(model.BadRequest{}, 0)
+	}
+	return nil
+}
+
+// matchHost finds the route of a host. The path goes on as it is.
+func (f *Front) matchHost(j *job, r *http.Request) error {
+	j.path = r.URL.EscapedPath()
+	var ok bool
+	if j.route, ok = j.view.Config().Find(j.ask.Host(), j.path); !ok {
+		return model.Refuse(model.NoRoute{}, 0)
+	}
+	j.service = f.splits.draw(j.route)
+	return nil
+}
+
+// splits draws the services of routes that are split. Each draw takes the part
+// that lags behind its weight most, so that short runs keep to the weights.
+// The zero value is ready for use.
+type splits struct {
+	mu   sync.Mutex
+	owed map[splitKey]float64
+}
+
+// splitKey is a part of a split route.
+type splitKey struct {
+	host, prefix string
+	service      model.Service
+}
+
+func (s *splits) draw(r conf.Route) model.Service {
+	parts := r.Parts()
+	if len(parts) == 0 {
+		return ""
+	}
+	if len(parts) == 1 {
+		return parts[0].Service()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owed == nil {
+		s.owed = map[splitKey]float64{}
+	}
+	return s.next(r, parts)
+}
+
+// next gives each part its weight of one request and takes the request from
+// the part that is owed most. The first request of a route goes by chance, so
+// that daemons that start together do not all begin with the same part.
+func (s *splits) next(r conf.Route, parts []conf.Part) model.Service {
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight()
+	}
+	best, most := splitKey{}, 0.0
+	for i, p := range parts {
+		k := splitKey{host: r.Host(), prefix: r.Prefix(), service: p.Service()}
+		if _, known := s.owed[k]; !known {
+			s.owed[k] = rand.Float64() - 0.5
+		}
+		s.owed[k] += p.Weight() / total
+		if i == 0 || s.owed[k] > most {
+			best, most = k, s.owed[k]
+		}
+	}
+	s.owed[best]--
+	return best.service
+}
--- a/io/front/once.go
+++ b/io/front/once.go
@@ -16,18 +16,16 @@
 	"anvilstand/core/trace"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
+	"anvilstand/io/form"
 )
 
-// headerIdempotency carries a caller's idempotency key.
-const headerIdempotency = "Idempotency-Key"
-
 // onceBytes is the length of what identifies a request and its key.
 const onceBytes = 16
 
 // markOnce gives a call the identity of its idempotency key, on a route that is
 // not idempotent. The same key names another request on another path.
 func (j *job) markOnce(r *http.Request) {
-	key := r.Header.Get(headerIdempotency)
+	key := j.ask.Once()
 	if key == "" || j.route.Idempotent() {
 		return
 	}
@@ -48,6 +46,7 @@
 
 // Observe takes the members of a new view. The control loop calls it.
 func (f *Front) Observe(v *ctrl.View) {
+	f.beside.observe(v)
 	now := f.clock.Now()
 	f.book.mu.Lock()
 	defer f.book.mu.Unlock()
@@ -172,7 +171,7 @@
 
 func (f *Front) serveClaim(w http.ResponseWriter, r *http.Request) {
 	if !f.isPeer(r) {
-		writeRefusal(w, model.Refuse(model.BadKey{}, 0), nil)
+		form.WriteRefusal(w, model.Refuse(model.BadKey{}, 0), nil)
 		return
 	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxClaim))
@@ -180,7 +179,7 @@
 		data, err = f.takeClaim(data)
 	}
 	if err != nil {
-		writeRefusal(w, refusalOf(err), nil)
+		form.WriteRefusal(w, refusalOf(err), nil)
 		return
 	}
 	_, _ = w.Write(data)
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -13,6 +13,7 @@
 	"anvilstand/core/model"
 	"anvilstand/core/trace"
 	"anvilstand/io/codec"
+	"anvilstand/io/form"
 )
 
 // Peers serves the other daemons' requests for the target beside this one.
@@ -23,7 +24,7 @@
 	defer f.work.end()
 	call, err := f.acceptPeer(r)
 	if err != nil {
-		writeRefusal(w, refusalOf(err), nil)
+		form.WriteRefusal(w, refusalOf(err), nil)
 		return
 	}
 	ctx, l := newLimit(r.Context(), call.Left(), f.prefs.Stall(), false)
@@ -33,11 +34,11 @@
 		b = startBeat(w)
 		defer b.end()
 	}
-	from, unspent, err := f.perform(ctx, call, inbound(ctx, r))
+	from, unspent, err := f.perform(ctx, call, inbound(ctx, call, r))
 	b.end()
 	if err != nil {
 		f.note(call, trace.NewRefused(refusalOf(err)))
-		writeRefusal(w, refusalOf(err), func(h http.Header) {
+		form.WriteRefusal(w, refusalOf(err), func(h http.Header) {
 			h.Set(headerUnspent, strconv.Itoa(unspent))
 			h.Set(headerLevel, f.report(""))
 			f.part(h)
@@ -69,7 +70,7 @@
 	if !f.isPeer(r) {
 		return model.Call{}, model.Refuse(model.BadKey{}, 0)
 	}
-	call, err := codec.DecodeCall(r.Header.Get(headerCall))
+	call, err := codec.DecodeCall(r.Header.Get(form.HeaderCall))
 	if err != nil {
 		return call, model.Refuse(model.BadRequest{}, 0)
 	}
@@ -82,16 +83,17 @@
 }
 
 // inbound returns a peer's request as it goes to the target.
-func inbound(ctx context.Context, r *http.Request) *http.Request {
+func inbound(ctx context.Context, call model.Call, r *http.Request) *http.Request {
 	out := (&http.Request{
 		Method: r.Method,
-		URL:    &url.URL{RawQuery: r.URL.RawQuery},
+		Host:   call.Host(),
+		URL:    &url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		Header: make(http.Header, len(r.Header)+headersAdded),
 	}).WithContext(ctx)
 	setPath(out.URL, strings.TrimPrefix(r.URL.EscapedPath(), "/relay"))
 	copyHeader(out.Header, r.Header)
 	delete(out.Header, "Authorization")
-	delete(out.Header, headerCall)
+	delete(out.Header, form.HeaderCall)
 	out.Body, out.ContentLength = &body{from: r.Body}, r.ContentLength
 	return out
 }
@@ -114,7 +116,7 @@
 // run admits a call, and sends its request to the target. It also returns the
 // retries that were not spent.
 func (f *Front) run(ctx context.Context, call model.Call, out *http.Request) (*http.Response, int, error) {
-	if err := f.drain.check(); err != nil {
+	if err := f.closed(); err != nil {
 		return nil, call.Budget(), err
 	}
 	began := time.Now()
@@ -123,7 +125,7 @@
 		return nil, call.Budget(), err
 	}
 	f.note(call, trace.NewAdmitted(time.Since(began)))
-	if err := granted(f.loop.View().Config(), call); err != nil {
+	if err := f.still(call); err != nil {
 		f.gate.finish(ticket, admit.Abandoned{})
 		return nil, call.Budget(), err
 	}
@@ -133,23 +135,45 @@
 	}
 	call = call.WithLeft(call.Left() - time.Since(began))
 	v := &visit{front: f, ticket: ticket, token: f.running.begin(call), outcome: admit.Failed{}}
-	f.address(out, call, v.token)
-	sent, at := time.Now(), f.clock.Now()
-	from, err := send(f.targetFor(out.Method), out, nil)
+	from, err := f.visit(ctx, call, out, v)
 	if err != nil {
-		v.outcome = failureOf(ctx)
-		f.ward.failed(ticket, err)
 		return nil, v.end(), err
 	}
-	f.drain.note(from.Header, at)
-	dropOwn(from)
 	from.Header.Set(headerLevel, f.report(v.token))
-	v.outcome = outcomeOf(from, time.Since(sent), f.running.refused(v.token))
 	f.ward.served(call.Mark())
 	from.Body = &closing{ReadCloser: from.Body, done: func() { v.end() }}
 	return from, f.running.settle(v.token), nil
 }
 
+// visit sends a request to the target and notes what that tells of the target.
+func (f *Front) visit(ctx context.Context, call model.Call, out *http.Request, v *visit) (*http.Response, error) {
+	f.address(out, call, v.token)
+	sent, at := time.Now(), f.clock.Now()
+	from, conn, err := send(f.targetFor(out.Method), out, nil)
+	if err != nil {
+		v.outcome = failureOf(ctx)
+		f.beside.failed(ctx, err)
+		f.ward.failed(v.ticket, err)
+		return nil, err
+	}
+	told := f.form.Told(call, from)
+	f.drain.note(told.Leaving(), at)
+	f.beside.answered(told)
+	if told.Foreign() {
+		conn.drop()
+		_ = from.Body.Close()
+		return nil, model.Fail(model.Broken{})
+	}
+	if told.Declined() {
+		v.outcome = admit.Rejected{}
+		_ = from.Body.Close()
+		return nil, model.Refuse(model.Declined{}, 0)
+	}
+	dropOwn(from)
+	v.outcome = outcomeOf(from, time.Since(sent), f.running.refused(v.token))
+	return from, nil
+}
+
 // outcomeOf returns what an answer says of the target. An error after a call
 // below was refused says nothing of it.
 func outcomeOf(from *http.Response, took time.Duration, below bool) admit.Outcome {
@@ -167,8 +191,7 @@
 func (f *Front) address(out *http.Request, call model.Call, token string) {
 	out.URL.Scheme, out.URL.Host = f.base.Scheme, f.base.Host
 	out.Header.Del("Expect")
-	out.Header.Set(headerCall, token)
-	out.Header.Set(headerDeadline, strconv.FormatInt(max(0, call.Left().Milliseconds()), 10))
+	f.form.Address(out.Header, call, form.NewVisit(token, f.beside.id()))
 }
 
 func (f *Front) targetFor(method string) http.RoundTripper {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -25,6 +25,9 @@
 	return n, err
 }
 
+// drop closes the connection, whatever is still to come on it.
+func (c *counted) drop() { _ = c.Close() }
+
 func dialCounted(n wire.Network) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := n.DialContext(ctx, network, address)
@@ -38,7 +41,7 @@
 // send makes one round trip. When it fails before a byte of the request was
 // written, the refusal says that the request did not run. beat is called at
 // each interim response.
-func send(t http.RoundTripper, r *http.Request, beat func()) (*http.Response, error) {
+func send(t http.RoundTripper, r *http.Request, beat func()) (*http.Response, *counted, error) {
 	var conn *counted
 	var before int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -53,11 +56,11 @@
 	}
 	from, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
-		return nil, failure(r.Context(), conn != nil && conn.sent.Load() != before)
+		return nil, conn, failure(r.Context(), conn != nil && conn.sent.Load() != before)
 	}
 	if from.StatusCode == http.StatusSwitchingProtocols {
 		_ = from.Body.Close()
-		return nil, failure(r.Context(), true)
+		return nil, conn, failure(r.Context(), true)
 	}
-	return from, nil
+	return from, conn, nil
 }
--- a/io/front/work.go
+++ b/io/front/work.go
@@ -47,6 +47,9 @@
 // while new work is still taken.
 func (f *Front) Announce() { f.leaving.Store(true) }
 
+// Leaving reports whether a planned stop has begun.
+func (f *Front) Leaving() bool { return f.leaving.Load() }
+
 // Close refuses new work for a planned stop, but for the calls that running
 // requests make, and waits until all work is done or ctx ends.
 func (f *Front) Close(ctx context.Context) error {
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -50,7 +50,7 @@
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
 	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "conns", "cert", "key", "authority",
-	"seeds", "isolation", "hold",
+	"seeds", "isolation", "hold", "form", "ready", "beats",
 }
 
 func unknownFields(text []byte) Faults {
@@ -117,7 +117,10 @@
 	need(isBase(p.target), "target", base)
 	need(isBase(p.store), "store", base)
 	need(len(p.secret) >= minSecret, "secret", "at least 8 bytes")
-	need(len(p.operators) > 0, "operators", "at least one operator with a key")
+	need(p.form == "" || p.form == formPlain || p.form == formPlatform, "form", "plain or platform")
+	need(!p.OnPlatform() || isAddress(p.ready), "ready", address)
+	need(!p.OnPlatform() || isAddress(p.beats), "beats", address)
+	need(len(p.operators) > 0 || p.OnPlatform(), "operators", "at least one operator with a key")
 	for who, key := range p.operators {
 		need(lang.IsName(who) && len(key) >= minSecret, "operators", who+": "+name+" with a key of at least 8 bytes")
 	}
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,8 +39,28 @@
 	seeds     []string
 	isolation time.Duration
 	hold      time.Duration
+	form      string
+	ready     string
+	beats     string
 }
 
+// Forms of requests and of the store.
+const (
+	formPlain    = "plain"
+	formPlatform = "platform"
+)
+
+// OnPlatform reports whether the daemon runs on the users' platform, which
+// keeps the configuration and tells of the targets.
+func (p *Prefs) OnPlatform() bool { return p.form == formPlatform }
+
+// Ready returns where the platform asks whether the daemon takes callers, as
+// host:port.
+func (p *Prefs) Ready() string { return p.ready }
+
+// Beats returns where the target tells of itself, as host:port.
+func (p *Prefs) Beats() string { return p.beats }
+
 // Seeds returns addresses of other daemons, of the own and of other failure
 // domains, to ask for the fleet when the store is away.
 func (p *Prefs) Seeds() []string { return p.seeds }
@@ -139,13 +160,14 @@
 		Front, Peer, Oper, Target string
 		Store, Secret             string
 		Operators                 map[string]string
-		Stall, Window, Settle     *float64
-		Deadline, Grace, Hold     *float64
+		Form, Ready, Beats        string
+		Stall, Window, Settle     *span
+		Deadline, Grace, Hold     *span
 		Budget, Conns             *int
 		Body                      *int64
 		Cert, Key, Authority      string
 		Seeds                     []string
-		Isolation                 *float64
+		Isolation                 *span
 	}
 	if err := json.Unmarshal(plain, &w); err != nil {
 		faults = append(faults, typeFault(text, err))
@@ -160,7 +182,8 @@
 		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
 		hold:  seconds(w.Hold, defaultHold),
 		conns: or(w.Conns, defaultConns),
-		cert:  w.Cert, certKey: w.Key, authority: w.Authority,
+		form:  w.Form, ready: w.Ready, beats: w.Beats,
+		cert: w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
 		return nil, faults
@@ -168,11 +191,34 @@
 	return p, nil
 }
 
-func seconds(n *float64, otherwise time.Duration) time.Duration {
+// span is a time, written as a number of seconds or as text with its unit.
+type span time.Duration
+
+// UnmarshalJSON reads a number of seconds, or a text such as "1500ms".
+func (s *span) UnmarshalJSON(data []byte) error {
+	var n float64
+	if json.Unmarshal(data, &n) == nil {
+		*s = span(n * float64(time.Second))
+		return nil
+	}
+	var text string
+	err := json.Unmarshal(data, &text)
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return &json.UnmarshalTypeError{Value: "string", Type: reflect.TypeFor[float64]()}
+	}
+	*s = span(d)
+	return nil
+}
+
+func seconds(n *span, otherwise time.Duration) time.Duration {
 	if n == nil {
 		return otherwise
 	}
-	return time.Duration(*n * float64(time.Second))
+	return time.Duration(*n)
 }
 
 func or[T any](p *T, otherwise T) T {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -68,6 +68,21 @@
 	return g.Wait()
 }
 
+// Members keeps the membership alone in step, until ctx ends. The configuration
+// comes from elsewhere.
+func Members(ctx context.Context, s store.Store, l *ctrl.Loop) error {
+	f := &follower{store: s, loop: l}
+	f.start(ctx, false)
+	g, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context){f.domains, f.write} {
+		g.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
 // start reads the record of the own failure domain, unless peers have told it.
 func (f *follower) start(ctx context.Context, seeds bool) {
 	d := f.loop.View().Self().Domain()
