--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -5,10 +5,13 @@
 	"context"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"anvilstand/io/daemon"
 	"anvilstand/io/prefs"
@@ -44,7 +47,45 @@
 	if err != nil {
 		return err
 	}
-	return d.Run(ctx)
+	return run(ctx, d, log, cmd.String("settings"))
+}
+
+// run serves until ctx ends. Each SIGHUP has the settings read again.
+func run(ctx context.Context, d *daemon.Daemon, log hclog.Logger, file string) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+				reload(d, log, file)
+			}
+		}
+	})
+	err := d.Run(ctx)
+	stop()
+	return errors.Join(err, g.Wait())
+}
+
+// reload reads the settings again. Faults leave those in force.
+func reload(d *daemon.Daemon, log hclog.Logger, file string) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		log.Error("settings not read", "file", file, "error", err)
+		return
+	}
+	p, err := prefs.Parse(text)
+	if err != nil {
+		log.Error("settings refused", "file", file, "error", err)
+		return
+	}
+	d.Reload(p)
 }
 
 func open(p *prefs.Prefs, log hclog.Logger) (*daemon.Daemon, error) {
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -16,6 +16,7 @@
 	once   string
 	mark   Print
 	host   string
+	to     Service
 }
 
 // NewCall returns the call of a request of an organisation. An open route's
@@ -96,6 +97,15 @@
 	return c
 }
 
+// Service returns the service that is to run the request.
+func (c Call) Service() Service { return c.to }
+
+// WithService returns the call to a service.
+func (c Call) WithService(s Service) Call {
+	c.to = s
+	return c
+}
+
 // Once returns what identifies the request and its idempotency key, empty when
 // it has none or needs none.
 func (c Call) Once() string { return c.once }
--- a/core/share/desk.go
+++ b/core/share/desk.go
@@ -19,6 +19,7 @@
 	self     Holder
 	domain   model.Domain
 	hold     time.Duration
+	slack    Slack
 	rnd      *rand.Rand
 	orgs     []model.Org
 	accounts map[model.Org]*account
@@ -74,7 +75,7 @@
 // claim is how the pot of a title starts once the swap that takes it is
 // confirmed.
 type claim struct {
-	version uint64 // that the swap wrote over
+	serial  uint64 // of the record that the swap writes
 	sent    model.Instant
 	level   float64
 	assumed float64
--- a/core/share/hold.go
+++ b/core/share/hold.go
@@ -235,7 +235,8 @@
 	if t.holder.process != 0 {
 		level = 0
 	}
-	c := claim{level: level, assumed: max(0, a.part(a.burst, t.weight)-level)}
+	limit := a.part(a.burst, t.weight)
+	c := claim{level: level, assumed: d.assume(a, t.weight, limit-level)}
 	d.swap(now, a, a.record.with(NewTitle(d.domain, d.self, t.weight, 0, false)), c, out)
 }
 
@@ -280,8 +281,10 @@
 
 func (d *Desk) swap(now model.Instant, a *account, r Record, c claim, out *Outbox) {
 	d.op++
-	a.store = call{op: d.op, sent: now, record: r}
-	c.version, c.sent, c.active = a.version, now, true
+	a.store = call{op: d.op, sent: now}
+	r.serial = a.record.serial + 1
+	a.store.record = r
+	c.serial, c.sent, c.active = r.serial, now, true
 	a.claimed = c
 	out.add(Swap{org: a.org, op: d.op, version: a.version, record: r})
 }
--- a/core/share/record.go
+++ b/core/share/record.go
@@ -40,6 +40,7 @@
 type Record struct {
 	titles []Title
 	fresh  int
+	serial uint64
 }
 
 // NewRecord returns a record.
@@ -54,6 +55,16 @@
 // of the burst there.
 func (r Record) Fresh() int { return r.fresh }
 
+// Serial returns how many writes led to the record. Its writer knows it again
+// by that, whatever versions the store gives.
+func (r Record) Serial() uint64 { return r.serial }
+
+// WithSerial returns the record as that of another write.
+func (r Record) WithSerial(n uint64) Record {
+	r.serial = n
+	return r
+}
+
 // Free returns the weight that no title has, the fresh weight included.
 func (r Record) Free() int {
 	free := Whole
--- a/core/share/store.go
+++ b/core/share/store.go
@@ -94,7 +94,7 @@
 		a.mine = nil
 		return
 	}
-	own := c.active && version == c.version+1
+	own := c.active && r.serial == c.serial
 	if a.mine != nil {
 		d.reweigh(now, a, t, c, own)
 		return
@@ -106,7 +106,7 @@
 // is not known for certain, the pot starts as if all were outstanding.
 func (d *Desk) open(now model.Instant, a *account, t Title, c claim, own bool) {
 	if !own {
-		c = claim{assumed: a.part(a.burst, t.weight)}
+		c = claim{assumed: d.assume(a, t.weight, a.part(a.burst, t.weight))}
 	}
 	a.mine = &tenure{confirmed: c.sent}
 	a.weigh(now, t.weight)
--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -28,6 +28,9 @@
 	if c.Once() != "" {
 		b = append(append(b, "&once="...), c.Once()...)
 	}
+	if c.Service() != "" {
+		b = append(append(b, "&service="...), c.Service()...)
+	}
 	if c.Host() != "" {
 		b = append(append(b, "&host="...), url.QueryEscape(c.Host())...)
 	}
@@ -63,7 +66,7 @@
 }
 
 func decodeMarks(c model.Call, v url.Values) (model.Call, error) {
-	c = c.WithHost(v.Get("host"))
+	c = c.WithHost(v.Get("host")).WithService(model.Service(v.Get("service")))
 	if tag := v.Get("tag"); tag != "" {
 		rev, err := strconv.ParseUint(v.Get("rev"), 10, 64)
 		if err != nil || !lang.IsName(tag) {
--- a/io/codec/share.go
+++ b/io/codec/share.go
@@ -43,7 +43,7 @@
 	for _, t := range r.Titles() {
 		titles = append(titles, []any{t.Domain(), holderParts(t.Holder()), t.Weight(), t.Level(), t.Notice()})
 	}
-	return []any{titles, r.Fresh()}
+	return []any{titles, r.Fresh(), r.Serial()}
 }
 
 func decodeShare(k kind, body []byte) (peer.Message, error) {
@@ -163,8 +163,9 @@
 	var (
 		packed []cbor.RawMessage
 		fresh  int
+		serial uint64
 	)
-	if err := unpack(data, &packed, &fresh); err != nil {
+	if err := unpack(data, &packed, &fresh, &serial); err != nil {
 		return share.Record{}, err
 	}
 	titles := make([]share.Title, 0, len(packed))
@@ -175,7 +176,7 @@
 		}
 		titles = append(titles, t)
 	}
-	r := share.NewRecord(titles, fresh)
+	r := share.NewRecord(titles, fresh).WithSerial(serial)
 	if !r.Valid() {
 		return share.Record{}, errors.Wrap(ErrForm, "weights are out of range")
 	}
--- a/io/ctrl/share.go
+++ b/io/ctrl/share.go
@@ -47,6 +47,10 @@
 // before Run.
 func (l *Loop) SetHold(d time.Duration) { l.shares.open(l.node.Self(), d) }
 
+// SetSlack sets what a successor of a title's holder may issue beyond the
+// promise. It is called after SetHold and before Run.
+func (l *Loop) SetSlack(s share.Slack) { l.shares.desk.SetSlack(s) }
+
 // Purse returns the tokens that the traffic spends.
 func (l *Loop) Purse() *Purse { return l.shares.purse }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
 	"anvilstand/core/peer"
+	"anvilstand/core/share"
 	"anvilstand/io/clock"
 	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
@@ -73,6 +74,7 @@
 	d.self = fleet.NewMember(p.Name(), p.Domain(), p.Service(), d.lns[1].Addr().String()).WithIncarnation(draw())
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.loop.SetHold(p.Hold())
+	d.loop.SetSlack(share.NewSlack(p.Excess(), p.Slack(), p.Span()))
 	d.front = front.New(p, fm, d.peer, n, d.loop, m)
 	d.oper = oper.New(p, d.loop, d.store, m, d.front.Trace, d.log)
 	return d, nil
@@ -157,7 +159,7 @@
 func (d *Daemon) leave(servers []*http.Server) {
 	d.log.Info("leaving")
 	d.front.Announce()
-	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace())
+	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace()*graceParts/10)
 	defer cancel()
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
 	d.awaitRecord(ctx)
@@ -215,6 +217,9 @@
 	// not read it yet.
 	lingerTime    = time.Second
 	retireTimeout = time.Second
+	// graceParts is the part of the grace, in tenths, that a stop takes at most.
+	// The rest is for the process to end in.
+	graceParts = 9
 	// resignTimeout bounds the wait for the titles of shares to be resigned.
 	resignTimeout = 2 * time.Second
 )
--- /dev/null
+++ b/io/daemon/service_test.go
@@ -0,0 +1,59 @@
+package daemon_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilstand/core/model"
+	"anvilstand/io/codec"
+)
+
+// TestAddressOfAnotherService has a peer send a request to an address that
+// another service's daemon has taken over.
+func TestAddressOfAnotherService(t *testing.T) {
+	cases := map[string]struct {
+		service model.Service
+		status  int
+		runs    int64
+	}{
+		"the own service": {service: "stock", status: http.StatusOK, runs: 1},
+		"another service": {service: "refunds", status: http.StatusServiceUnavailable},
+		"not said":        {status: http.StatusOK, runs: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			r := newRig(t)
+			u := r.add("stock-north-1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }), "")
+			r.configure(u)
+			call := model.NewCall("r1", "", model.RankTop).WithLeft(time.Second).WithService(tc.service)
+			q, err := http.NewRequest(http.MethodGet, "http://"+u.Loop().View().Self().Address()+"/relay/items", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q.Header.Set("Authorization", "Bearer peer-secret")
+			q.Header.Set("Anvil", codec.EncodeCall(call))
+			w, err := http.DefaultClient.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer w.Body.Close()
+			text, _ := io.ReadAll(w.Body)
+			if diff := cmp.Diff(tc.status, w.StatusCode); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(tc.runs, runs.Load()); diff != "" {
+				t.Error(diff)
+			}
+			if tc.runs == 0 && !strings.Contains(string(text), `"run":"not"`) {
+				t.Errorf("answered %s, want that it did not run", text)
+			}
+		})
+	}
+}
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -30,7 +30,7 @@
 	f.note(j.call, trace.NewPicked(m.Name()))
 	var part retry.Part
 	j.budget.Lend(&part)
-	call := j.call.WithLeft(time.Until(j.until)).WithBudget(part.Size())
+	call := j.call.WithLeft(time.Until(j.until)).WithBudget(part.Size()).WithService(j.service)
 	from, unspent, err := f.reach(ctx, j, p, m, call)
 	j.budget.Return(&part, unspent)
 	if err != nil {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -74,6 +74,10 @@
 	if err != nil {
 		return call, model.Refuse(model.BadRequest{}, 0)
 	}
+	// The address may have been that of another service's daemon.
+	if s := call.Service(); s != "" && s != f.prefs.Service() {
+		return call, model.Refuse(model.NoTarget{}, 0)
+	}
 	return call, nil
 }
 
--- a/io/prefs/check.go
+++ b/io/prefs/check.go
@@ -50,7 +50,7 @@
 var fields = []string{
 	"name", "domain", "service", "front", "peer", "oper", "target", "store", "secret",
 	"operators", "deadline", "grace", "budget", "body", "stall", "window", "settle", "conns", "cert", "key", "authority",
-	"seeds", "isolation", "hold", "form", "ready", "beats",
+	"seeds", "isolation", "hold", "form", "ready", "beats", "excess", "slack", "span",
 }
 
 func unknownFields(text []byte) Faults {
@@ -134,6 +134,9 @@
 	need(p.window > 0 && p.window.Seconds() <= maxTime, "window", seconds)
 	need(p.settle >= 0 && p.settle < p.grace, "settle", "seconds, 0 or more and less than grace")
 	need(p.budget >= 0 && p.budget <= maxBudget, "budget", "a whole number from 0 to 100")
+	need(p.excess >= 0 && p.excess <= 1, "excess", "a part from 0 to 1")
+	need(p.slack >= 0, "slack", "tokens, 0 or more")
+	need(p.span >= 0 && p.span.Seconds() <= maxTime, "span", "seconds, 0 or more and up to 3600")
 	need(p.maxBody > 0, "body", "bytes, above 0")
 	need(p.conns > 0, "conns", "connections, above 0")
 	whole := (p.cert == "") == (p.certKey == "") && (p.cert == "") == (p.authority == "")
--- a/io/prefs/prefs.go
+++ b/io/prefs/prefs.go
@@ -42,6 +42,9 @@
 	form      string
 	ready     string
 	beats     string
+	excess    float64
+	slack     float64
+	span      time.Duration
 }
 
 // Forms of requests and of the store.
@@ -58,6 +61,17 @@
 // host:port.
 func (p *Prefs) Ready() string { return p.ready }
 
+// Excess returns the part of an organisation's rate and burst in a span of
+// time, and Slack the tokens, that it may get beyond them when the daemons that
+// hold its rate are replaced.
+func (p *Prefs) Excess() float64 { return p.excess }
+
+// Slack returns the tokens that belong to Excess.
+func (p *Prefs) Slack() float64 { return p.slack }
+
+// Span returns the span of time that belongs to Excess.
+func (p *Prefs) Span() time.Duration { return p.span }
+
 // Beats returns where the target tells of itself, as host:port.
 func (p *Prefs) Beats() string { return p.beats }
 
@@ -161,6 +175,8 @@
 		Store, Secret             string
 		Operators                 map[string]string
 		Form, Ready, Beats        string
+		Excess, Slack             float64
+		Span                      *span
 		Stall, Window, Settle     *span
 		Deadline, Grace, Hold     *span
 		Budget, Conns             *int
@@ -180,9 +196,10 @@
 		budget: or(w.Budget, defaultBudget), maxBody: or(w.Body, defaultMaxBody),
 		stall: seconds(w.Stall, defaultStall), window: seconds(w.Window, defaultWindow), settle: seconds(w.Settle, defaultSettle),
 		seeds: w.Seeds, isolation: seconds(w.Isolation, defaultIsolation),
-		hold:  seconds(w.Hold, defaultHold),
-		conns: or(w.Conns, defaultConns),
-		form:  w.Form, ready: w.Ready, beats: w.Beats,
+		hold:   seconds(w.Hold, defaultHold),
+		conns:  or(w.Conns, defaultConns),
+		excess: w.Excess, slack: w.Slack, span: seconds(w.Span, 0),
+		form: w.Form, ready: w.Ready, beats: w.Beats,
 		cert: w.Cert, certKey: w.Key, authority: w.Authority,
 	}
 	if faults = faults.join(p.check(text)); len(faults) > 0 {
