--- a/core/share/desk.go
+++ b/core/share/desk.go
@@ -49,6 +49,8 @@
 	wanted  model.Instant // when the purse last needed something
 	polled  model.Instant // when a candidate last asked the holder for a sign of life
 	claimed claim
+	unsure  bool // whether the claim was written is not known
+	lost    int  // store calls in a row without an answer
 	round   round
 	asks    []ask
 	tried   map[model.Domain]sight
@@ -106,6 +108,8 @@
 	callLimit = 10 * time.Second
 	// retryMean is the mean time between two store calls for one record.
 	retryMean = 300 * time.Millisecond
+	// lostDoublings is how often that doubles while the store does not answer.
+	lostDoublings = 2
 	// rankStep is how much later each next candidate claims a title.
 	rankStep = 700 * time.Millisecond
 	// settleTime is how long the membership stands still before a claim.
--- a/core/share/desk_test.go
+++ b/core/share/desk_test.go
@@ -56,6 +56,7 @@
 	}
 	lost := func(d *Desk, s Swap, now model.Instant, out *Outbox) {
 		d.Stored(now, "acme", s.Op(), Lost{}, out)
+		d.Tick(now.Add(time.Second), out)
 	}
 	reread := func(version, writes uint64) func(*Desk, Swap, model.Instant, *Outbox) {
 		return func(d *Desk, s Swap, now model.Instant, out *Outbox) {
@@ -140,3 +141,42 @@
 		}
 	}
 }
+
+// TestStoreAway has the store answer nothing, and counts the calls of ten
+// seconds after the first write.
+func TestStoreAway(t *testing.T) {
+	const most = 20 // two a second
+	d, swap, now := lone(t)
+	calls := 1
+	var first Outbox
+	d.Stored(now, "acme", swap.Op(), Lost{}, &first)
+	pending := first.Actions()
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(Tick) {
+		for ; len(pending) > 0 && calls < 1000; pending = pending[1:] {
+			var out Outbox
+			if op := opOf(pending[0]); op != 0 {
+				calls++
+				d.Stored(now, "acme", op, Lost{}, &out)
+			}
+			pending = append(pending, out.Actions()...)
+		}
+		var out Outbox
+		d.Tick(now, &out)
+		pending = append(pending, out.Actions()...)
+	}
+	if calls > most {
+		t.Errorf("%d calls in 10 s, want %d at most", calls, most)
+	}
+}
+
+// opOf returns the number of a store call, or zero.
+func opOf(a Action) uint64 {
+	switch a := a.(type) {
+	case Read:
+		return a.Op()
+	case Swap:
+		return a.Op()
+	case Send, Credit, Dry:
+	}
+	return 0
+}
--- a/core/share/hold.go
+++ b/core/share/hold.go
@@ -39,6 +39,10 @@
 	if now.Before(a.due) {
 		return
 	}
+	if a.unsure {
+		d.read(now, a, out)
+		return
+	}
 	if !a.known {
 		d.discover(now, a, out)
 		return
--- a/core/share/store.go
+++ b/core/share/store.go
@@ -33,6 +33,7 @@
 	}
 	sent := a.store.sent
 	a.store = call{}
+	a.unsure, a.lost = false, 0
 	if version < a.version || !r.Valid() {
 		a.due = now.Add(d.jitter(retryMean))
 		return
@@ -55,16 +56,17 @@
 	a.store = call{}
 	switch o := o.(type) {
 	case Done:
+		a.lost = 0
 		d.adopt(now, a, o.version, made.record)
 		d.confirm(a, made.sent)
 		d.spread(a, out)
 	case Stale:
+		a.lost = 0
 		d.read(now, a, out)
 	case Lost:
-		a.due = now.Add(d.jitter(retryMean))
-		if a.claimed.active {
-			d.read(now, a, out)
-		}
+		a.unsure = a.unsure || a.claimed.active
+		a.due = now.Add(d.jitter(retryMean << min(a.lost, lostDoublings)))
+		a.lost++
 	}
 }
 
--- a/io/watch/roll.go
+++ b/io/watch/roll.go
@@ -57,12 +57,15 @@
 // read is counted and passed over.
 func (f *follower) watchKey(ctx context.Context, key string, take func(store.Item) error) {
 	var version uint64
+	lost := 0
 	for ctx.Err() == nil {
 		item, err := f.store.Watch(ctx, key, version)
 		if err != nil {
-			pause(ctx, Pause)
+			away(ctx, lost)
+			lost++
 			continue
 		}
+		lost = 0
 		if item.Version() == version || item.Version() == 0 {
 			continue
 		}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -95,11 +95,11 @@
 		}
 	}
 	_ = clock.Rest(ctx, rand.N(startSpread))
-	for ctx.Err() == nil && !known(f.loop.View()) {
+	for n := 0; ctx.Err() == nil && !known(f.loop.View()); n++ {
 		if f.readRoll(ctx, d) == nil {
 			return
 		}
-		pause(ctx, Pause)
+		away(ctx, n)
 	}
 }
 
@@ -184,5 +184,12 @@
 	}
 }
 
+// awayDoublings is how often Pause doubles while the store does not answer.
+const awayDoublings = 2
+
+// away waits after the store has not answered for the nth time in a row,
+// counted from 0.
+func away(ctx context.Context, n int) { pause(ctx, Pause<<min(n, awayDoublings)) }
+
 // pause waits for d and up to as much again.
 func pause(ctx context.Context, d time.Duration) { _ = clock.Rest(ctx, d+rand.N(d)) }
