Members that cannot be reached are set aside at once; attempts that reach no target are free

Cause: a member behind a cut cost each request its whole time, since a connection took up to a second to fail and a third of a service at most was set aside; refusals of daemons whose targets leave used up the ratio of retries, though no target saw them. Change: a connection within the fleet has 300 ms; one that was not to be had sets the member aside, and one request at a time finds out whether it is back; attempts that reach no target cost no ratio and are bounded by six; a route's attempts are counted at targets.

--- a/core/route/command.go
+++ b/core/route/command.go
@@ -12,9 +12,13 @@
 	s.then = min(s.then, s.sent)
 	switch end.(type) {
 	case Answered:
-		s.broken, s.pause = 0, 0
+		s.broken, s.pause, s.lost = 0, 0, false
 	case Broken:
 		s.fail(now)
+	case Unreached:
+		s.lost = true
+		s.broken = max(s.broken, OutlierAttempts-1)
+		s.fail(now)
 	case Canceled:
 	}
 }
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -60,19 +60,31 @@
 	return highest
 }
 
-// Aside returns the members that are set aside, a third at most: those with
-// the most attempts without an answer.
+// Aside returns the members that are set aside: those that cannot be reached,
+// and a third at most of the others, those with the most attempts without an
+// answer. When the pause of one that was not reached is over, it gets one
+// request at a time until it has answered one.
 func (t *Table) Aside(now model.Instant, members []fleet.Member) []fleet.Member {
-	var aside []fleet.Member
+	var aside, lost []fleet.Member
 	for _, m := range members {
-		if s := t.targets[m.Name()]; s != nil && now.Before(s.aside) {
+		s := t.targets[m.Name()]
+		switch {
+		case s == nil || !s.waits(now):
+		case s.lost:
+			lost = append(lost, m)
+		default:
 			aside = append(aside, m)
 		}
 	}
 	slices.SortStableFunc(aside, func(a, b fleet.Member) int {
 		return cmp.Compare(t.targets[b.Name()].broken, t.targets[a.Name()].broken)
 	})
-	return aside[:min(len(aside), len(members)/OutlierPart)]
+	return append(lost, aside[:min(len(aside), len(members)/OutlierPart)]...)
+}
+
+// waits reports whether a target gets no work now.
+func (s *target) waits(now model.Instant) bool {
+	return now.Before(s.aside) || (s.lost && s.sent > 0)
 }
 
 func (t *Table) trusted(now model.Instant, members []fleet.Member) []fleet.Member {
@@ -80,7 +92,7 @@
 		return members
 	}
 	aside := t.Aside(now, members)
-	if len(aside) == 0 {
+	if len(aside) == 0 || len(aside) == len(members) {
 		return members
 	}
 	return slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -46,14 +46,17 @@
 	// Broken is an attempt without an answer: no connection, a connection
 	// that broke, or silence until the deadline.
 	Broken struct{}
+	// Unreached is an attempt for which no connection was to be had.
+	Unreached struct{}
 	// Canceled is an attempt that the caller gave up, which says nothing of
 	// the target.
 	Canceled struct{}
 )
 
-func (Answered) isEnd() {}
-func (Broken) isEnd()   {}
-func (Canceled) isEnd() {}
+func (Answered) isEnd()  {}
+func (Broken) isEnd()    {}
+func (Unreached) isEnd() {}
+func (Canceled) isEnd()  {}
 
 // Table is what one daemon knows of the targets it sends to. The zero value
 // knows none. It is not safe for concurrent use.
@@ -70,7 +73,8 @@
 	limit    int
 	loadTime model.Instant
 	levels   map[Path]level
-	broken   int // attempts without an answer, in a row
+	broken   int  // attempts without an answer, in a row
+	lost     bool // the last attempt found no connection
 	aside    model.Instant
 	pause    time.Duration
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -98,6 +98,26 @@
 			setup: func(t *route.Table) { breakOff(t, "n1"); breakOff(t, "n2") },
 			list:  members, want: map[string]bool{"n2": true},
 		},
+		"one not reached is set aside, however many": {
+			setup: func(t *route.Table) { unreach(t, "n1"); unreach(t, "n2"); unreach(t, "e1") },
+			list:  members, want: map[string]bool{"s1": true},
+		},
+		"but not all of them": {
+			setup: func(t *route.Table) {
+				for _, m := range members {
+					unreach(t, m.Name())
+				}
+			},
+			list: members, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"one not reached gets a request to find out": {
+			setup: func(t *route.Table) { unreach(t, "n1") },
+			list:  members, now: 2 * second, want: map[string]bool{"n1": true, "n2": true},
+		},
+		"and no other meanwhile": {
+			setup: func(t *route.Table) { unreach(t, "n1"); t.Send("n1") },
+			list:  members, now: 2 * second, want: map[string]bool{"n2": true},
+		},
 		"an outlier comes back": {
 			setup: func(t *route.Table) { breakOff(t, "n1") },
 			list:  members, now: 2 * second, want: map[string]bool{"n1": true, "n2": true},
@@ -116,6 +136,11 @@
 	}
 }
 
+func unreach(t *route.Table, name model.Instance) {
+	t.Send(name)
+	t.Finish(0, name, route.Unreached{})
+}
+
 func breakOff(t *route.Table, name model.Instance) {
 	for range route.OutlierAttempts {
 		t.Send(name)
--- a/io/front/aside.go
+++ b/io/front/aside.go
@@ -8,24 +8,30 @@
 	"anvilstand/core/model"
 )
 
-// asideTime is how long a daemon that said that it leaves gets no new work from
-// here. By then the membership says so.
-const asideTime = 10 * time.Second
+// Times for which a daemon gets no new work from here.
+const (
+	// leavingTime is that of a daemon that said that it leaves. By then the
+	// membership says so.
+	leavingTime = 10 * time.Second
+	// restTime is that of a daemon whose target takes no work. Then one request
+	// finds out.
+	restTime = 500 * time.Millisecond
+)
 
-// aside are the daemons that said on an answer that they leave. The zero value
-// holds none.
+// aside are the daemons that said on an answer that they want no work. The zero
+// value holds none.
 type aside struct {
 	mu    sync.Mutex
 	until map[model.Instance]model.Instant
 }
 
-func (a *aside) put(now model.Instant, name model.Instance) {
+func (a *aside) put(now model.Instant, name model.Instance, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.until == nil {
 		a.until = map[model.Instance]model.Instant{}
 	}
-	a.until[name] = now.Add(asideTime)
+	a.until[name] = max(a.until[name], now.Add(d))
 }
 
 // mark notes the members that are set aside as tried, unless all of them are.
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -31,10 +31,11 @@
 	var part retry.Part
 	j.budget.Lend(&part)
 	call := j.call.WithLeft(time.Until(j.until)).WithBudget(part.Size()).WithService(j.service)
-	from, unspent, err := f.reach(ctx, j, p, m, call)
+	from, unspent, err := f.reach(ctx, j, p, m, call, t)
 	j.budget.Return(&part, unspent)
 	if err != nil {
-		f.picker.finish(m.Name(), endOf(ctx, err))
+		f.picker.finish(m.Name(), endOf(ctx, err, t.heard))
+		f.avoid(m.Name(), t.heard, refusalOf(err))
 		f.note(j.call, trace.NewRefused(refusalOf(err)))
 		return nil, err
 	}
@@ -65,11 +66,13 @@
 
 // reach runs a request at the target beside this daemon, or sends it to another
 // daemon. It also returns the retries that were not spent.
-func (f *Front) reach(ctx context.Context, j *job, p *parcel, m fleet.Member, call model.Call) (*http.Response, int, error) {
+func (f *Front) reach(ctx context.Context, j *job, p *parcel, m fleet.Member, call model.Call, t *tries) (*http.Response, int, error) {
+	t.heard = false
 	out := f.outbound(ctx, j, p)
 	if m.Name() == j.view.Self().Name() {
 		setPath(out.URL, j.path)
 		from, unspent, err := f.perform(ctx, call, out)
+		t.heard = true
 		if err == nil {
 			f.learn(j, m.Name(), from.Header)
 		}
@@ -84,11 +87,12 @@
 		return nil, 0, err
 	}
 	if from.Header.Get(headerLeaving) != "" {
-		f.aside.put(f.clock.Now(), m.Name())
+		f.aside.put(f.clock.Now(), m.Name(), leavingTime)
 	}
 	f.learn(j, m.Name(), from.Header)
 	unspent, _ := strconv.Atoi(from.Header.Get(headerUnspent))
 	if refusal, is := readRefusal(from); is {
+		t.heard = true
 		_ = from.Body.Close()
 		return nil, unspent, refusal
 	}
@@ -96,6 +100,20 @@
 	return from, unspent, nil
 }
 
+// avoid sets a member aside whose daemon said that its target takes no work.
+func (f *Front) avoid(name model.Instance, heard bool, r *model.Refusal) {
+	if !heard {
+		return
+	}
+	switch r.Reason().(type) {
+	case model.Leaving, model.NoTarget, model.DomainOut:
+		f.aside.put(f.clock.Now(), name, restTime)
+	case model.NoKey, model.BadKey, model.NoRoute, model.BadRequest, model.TooLarge, model.OverRate, model.NoShare,
+		model.Shed, model.QueueFull, model.Late, model.Poison, model.Repeat, model.Spent, model.Isolated, model.Declined,
+		model.Broken, model.Canceled:
+	}
+}
+
 func (f *Front) peersFor(j *job) http.RoundTripper {
 	if j.route.Idempotent() {
 		return f.peers
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -21,6 +21,11 @@
 	began bool
 	// unknown reports whether an attempt may have run.
 	unknown bool
+	// heard reports whether the last attempt ended by the word of the target's
+	// daemon.
+	heard bool
+	// free counts the attempts that reached no target, and reached the others.
+	free, reached int
 	// broken counts the attempts that may have run.
 	broken int
 }
@@ -29,13 +34,30 @@
 // is tried once more. It bounds the targets that a killing request reaches.
 const maxBroken = 1
 
+// maxFree is the number of attempts that reach no target after which a request
+// is not tried again.
+const maxFree = 6
+
+// take notes how an attempt ended.
 func (t *tries) take(r *model.Refusal) {
+	if isFree(r) {
+		t.free++
+	} else {
+		t.reached++
+	}
 	if _, may := r.Run().(model.MayHaveRun); may {
 		t.unknown = true
 		t.broken++
 	}
 }
 
+// isFree reports whether an attempt reached no target, and cost none anything.
+func isFree(r *model.Refusal) bool {
+	_, declined := r.Reason().(model.Declined)
+	_, not := r.Run().(model.NotRun)
+	return not && !declined
+}
+
 // report returns the refusal for the caller. A request of which an earlier
 // attempt may have run is not reported as not run.
 func (t *tries) report(r *model.Refusal) *model.Refusal {
@@ -97,7 +119,7 @@
 		return refusal
 	}
 	pause := f.pause(j, t, refusal)
-	if err := f.allow(j, p, pause); err != nil {
+	if err := f.allow(j, p, t, refusal, pause); err != nil {
 		f.deny(j, err)
 		return refusal
 	}
@@ -127,14 +149,21 @@
 	return retry.Pause(f.rnd, t.rounds-1, refusal)
 }
 
-// allow takes what a retry costs: time, one of the budget, one of the ratio.
-func (f *Front) allow(j *job, p *parcel, pause time.Duration) error {
+// allow takes what a retry costs: time and, when the last attempt reached a
+// target, one of the budget and one of the ratio.
+func (f *Front) allow(j *job, p *parcel, t *tries, last *model.Refusal, pause time.Duration) error {
 	if !p.again() {
 		return retry.NewError(retry.Consumed{})
 	}
 	if err := retry.Fits(time.Until(j.until), pause); err != nil {
 		return err
 	}
+	if most := j.route.Attempts(); most > 0 && t.reached >= most {
+		return retry.NewError(retry.NoBudget{})
+	}
+	if isFree(last) {
+		return t.allowFree()
+	}
 	if j.budget.Left() == 0 {
 		return j.budget.Take()
 	}
@@ -144,6 +173,14 @@
 	return j.budget.Take()
 }
 
+// allowFree bounds the attempts that reach no target.
+func (t *tries) allowFree() error {
+	if t.free > maxFree {
+		return retry.NewError(retry.NoBudget{})
+	}
+	return nil
+}
+
 func (f *Front) deny(j *job, err error) {
 	var e *retry.Error
 	if errors.As(err, &e) {
--- a/io/front/level.go
+++ b/io/front/level.go
@@ -43,7 +43,8 @@
 }
 
 // endOf returns what an attempt says of the target it went to.
-func endOf(ctx context.Context, err error) route.End {
+// Heard means that the target's daemon said so itself.
+func endOf(ctx context.Context, err error, heard bool) route.End {
 	if err == nil {
 		return route.Answered{}
 	}
@@ -51,9 +52,11 @@
 		return route.Canceled{}
 	}
 	r := refusalOf(err)
-	_, unknown := r.Run().(model.MayHaveRun)
 	_, none := r.Reason().(model.NoTarget)
-	if unknown || none {
+	if none && !heard {
+		return route.Unreached{}
+	}
+	if _, unknown := r.Run().(model.MayHaveRun); unknown {
 		return route.Broken{}
 	}
 	return route.Answered{}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
+	"time"
 
 	"anvilstand/io/wire"
 )
@@ -25,11 +26,17 @@
 	return n, err
 }
 
+// dialTimeout bounds the opening of a connection within the fleet, where round
+// trips take a few milliseconds. A request that finds none goes elsewhere.
+const dialTimeout = 300 * time.Millisecond
+
 // drop closes the connection, whatever is still to come on it.
 func (c *counted) drop() { _ = c.Close() }
 
 func dialCounted(n wire.Network) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		conn, err := n.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
