Calls of a target inherit the place of what it runs; callers learn the levels that calls meet

Change: a call on an open route takes the place of a request that runs; a daemon reports the lowest level that its target's calls met; ranks of routes count within those of organisations.

--- a/core/model/place.go
+++ b/core/model/place.go
@@ -17,5 +17,8 @@
 // PlaceOf returns the place of a rank and an order.
 func PlaceOf(r Rank, o Order) Place { return Place(r)*Orders + Place(o) }
 
+// Order returns the order within the rank.
+func (p Place) Order() Order { return Order(p % Orders) }
+
 // Rank returns the rank that the place lies in.
 func (p Place) Rank() Rank { return Rank(p / Orders) }
--- a/core/route/query.go
+++ b/core/route/query.go
@@ -140,8 +140,7 @@
 	if !ok {
 		return model.Places
 	}
-	old := now.Sub(l.told).Seconds() / LevelTime.Seconds()
-	return model.Place(min(float64(model.Places), float64(l.place)+old*old*float64(model.Places)))
+	return l.at(now)
 }
 
 // spill returns the candidates of the own failure domain, or all when there
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -23,7 +23,7 @@
 func (f *Front) attempt(ctx context.Context, j *job, p *parcel, t *tries) (*http.Response, error) {
 	m, level, err := f.choose(j, t)
 	if err != nil {
-		f.running.note(j.parent, j.service, level)
+		f.met(j, level)
 		return nil, err
 	}
 	t.tried[m.Name()], t.began = true, true
@@ -60,7 +60,7 @@
 func (f *Front) learn(j *job, name model.Instance, h http.Header) {
 	if r, ok := takeReport(h); ok {
 		f.picker.learn(*j, name, r)
-		f.running.note(j.parent, j.service, r.Level())
+		f.met(j, r.Level())
 	}
 }
 
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -27,7 +27,9 @@
 	// parent is the token of the request for which the target makes this one,
 	// and part what it got of that one's retries.
 	parent string
-	part   retry.Part
+	// below reports whether the target made the request for one that it runs.
+	below bool
+	part  retry.Part
 }
 
 // Callers serves callers: clients, and the target beside this daemon.
@@ -137,6 +139,7 @@
 		return model.Refuse(model.Isolated{}, 0)
 	}
 	j.call = f.picker.order(model.NewCall(j.call.ID(), org, j.rank(org)).WithLeft(left)).WithHost(j.ask.Host())
+	f.inherit(j)
 	j.until = time.Now().Add(left)
 	j.budget = retry.NewBudget(f.prefs.Budget())
 	if org == "" {
@@ -185,7 +188,8 @@
 func (j *job) rank(org model.Org) model.Rank {
 	o, known := j.view.Config().Org(org)
 	if known && o.Outranks() {
-		return o.Rank()
+		rank, _ := j.route.Rank()
+		return rank.Within(o.Rank())
 	}
 	if rank, ok := j.route.Rank(); ok {
 		return rank
--- a/io/front/flight.go
+++ b/io/front/flight.go
@@ -37,6 +37,16 @@
 	return token
 }
 
+// sample returns the place of one of the requests that run, any of them.
+func (f *flights) sample() (model.Place, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, run := range f.runs {
+		return run.call.Place(), true
+	}
+	return 0, false
+}
+
 // end forgets a request and returns the retries that it did not spend.
 func (f *flights) end(token string) int {
 	left := f.settle(token)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -24,6 +24,7 @@
 	form    form.Form
 	beside  beside
 	splits  splits
+	below   below
 	loop    *ctrl.Loop
 	meter   *meter.Meter
 	clock   clock.Clock
@@ -80,6 +81,7 @@
 		freshTarget: newTransport(target, freshTimeout),
 		ward:        ward{clock: c, loop: l},
 	}
+	f.below = below{clock: c}
 	f.beside = beside{clock: c, gate: &f.gate, loop: l, service: p.Service()}
 	l.Watch(f.Observe)
 	return f
--- a/io/front/level.go
+++ b/io/front/level.go
@@ -39,6 +39,9 @@
 	if level := f.running.level(token); level < r.Level() {
 		r = route.NewReport(level, r.Load(), r.Limit())
 	}
+	if level := f.below.level(); level < r.Level() {
+		r = route.NewReport(level, r.Load(), r.Limit())
+	}
 	return formatReport(r)
 }
 
