--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilstand/io/daemon"
+	"anvilstand/io/logs"
 	"anvilstand/io/prefs"
 	"anvilstand/io/store"
 	"anvilstand/io/wire"
@@ -42,12 +43,24 @@
 	if err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: string(p.Name()), Output: os.Stdout, JSONFormat: cmd.Bool("json")})
+	out := logs.New(os.Stdout)
+	log := hclog.New(&hclog.LoggerOptions{Name: string(p.Name()), Output: out, JSONFormat: cmd.Bool("json")})
 	d, err := open(p, log)
 	if err != nil {
 		return err
 	}
-	return run(ctx, d, log, cmd.String("settings"))
+	return write(ctx, out, func() error { return run(ctx, d, log, cmd.String("settings")) })
+}
+
+// write writes the log until what it tells of has ended.
+func write(ctx context.Context, out *logs.Writer, until func() error) error {
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { return out.Run(ctx) })
+	err := until()
+	stop()
+	return errors.Join(err, g.Wait())
 }
 
 // run serves until ctx ends. Each SIGHUP has the settings read again.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -75,7 +75,7 @@
 	d.loop = ctrl.New(d.self, codec.Packer{}, p.Seeds())
 	d.loop.SetHold(p.Hold())
 	d.loop.SetSlack(share.NewSlack(p.Excess(), p.Slack(), p.Span()))
-	d.front = front.New(p, fm, d.peer, n, d.loop, m)
+	d.front = front.New(p, fm, d.peer, n, d.loop, m, d.log)
 	d.oper = oper.New(p, d.loop, d.store, m, d.front.Trace, d.log)
 	return d, nil
 }
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -46,6 +46,7 @@
 	f.work.begin()
 	defer f.work.end()
 	j, err := f.accept(r)
+	defer f.close(j.call.ID())
 	began := false
 	if err == nil {
 		began, err = f.forward(w, r, j)
@@ -84,6 +85,7 @@
 	token := j.ask.Token()
 	if token == "" {
 		j.call = model.NewCall(j.id(), "", model.RankDefault)
+		f.open(j.call.ID())
 	}
 	if err != nil {
 		return j, err
@@ -123,6 +125,7 @@
 	if !ok {
 		return model.Refuse(model.BadRequest{}, 0)
 	}
+	f.open(call.ID())
 	j.parent, j.part = token, part
 	j.budget = retry.NewBudget(part.Size())
 	j.call = call.WithOnce("").WithLeft(min(left, call.Left()))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"anvilstand/core/once"
 	"anvilstand/io/clock"
 	"anvilstand/io/ctrl"
@@ -55,7 +57,7 @@
 
 // New returns the traffic side of a daemon, which reaches the other daemons and
 // its target over a network each.
-func New(p *prefs.Prefs, fm form.Form, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter) *Front {
+func New(p *prefs.Prefs, fm form.Form, peers, target wire.Network, l *ctrl.Loop, m *meter.Meter, log hclog.Logger) *Front {
 	c := clock.New()
 	base, _ := url.Parse(p.Target())
 	f := &Front{
@@ -82,6 +84,7 @@
 		ward:        ward{clock: c, loop: l},
 	}
 	f.below = below{clock: c}
+	f.notes.log = log
 	f.beside = beside{clock: c, gate: &f.gate, loop: l, service: p.Service()}
 	l.Watch(f.Observe)
 	return f
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -27,6 +27,8 @@
 		form.WriteRefusal(w, refusalOf(err), nil)
 		return
 	}
+	f.open(call.ID())
+	defer f.close(call.ID())
 	ctx, l := newLimit(r.Context(), call.Left(), f.prefs.Stall(), false)
 	defer l.end()
 	var b *beater
