--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -26,9 +26,9 @@
 	Name:        "serve",
 	Usage:       "run the daemon beside a target",
 	UsageText:   "anvilstand serve --settings examples/pilha.json",
-	Description: "On the users' platform the settings file stands in ANVILSTAND_BOOT.",
+	Description: "On the users' platform the settings file stands in " + platform.SettingsVariable + ".",
 	Flags: []cli.Flag{
-		&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("ANVILSTAND_BOOT")},
+		&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars(platform.SettingsVariable)},
 		&cli.BoolFlag{Name: "json", Usage: "write the log as JSON"},
 	},
 	Action: serve,
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -47,6 +47,12 @@
 	Leave(id string)
 }
 
+// ReadyAddress returns where the platform asks whether the daemon takes callers.
+func (d *Daemon) ReadyAddress() string { return d.lns[3].Addr().String() }
+
+// BeatsAddress returns where the target tells of itself.
+func (d *Daemon) BeatsAddress() string { return d.lns[4].Addr().String() }
+
 // follow keeps the store and the control state in step.
 func (d *Daemon) follow(ctx context.Context) error {
 	if d.on == nil {
--- a/tools/shape/check_test.go
+++ b/tools/shape/check_test.go
@@ -34,6 +34,13 @@
 			path: "a_test.go", text: "package a\nvar cases = []addCase{{1}}\n",
 			want: []string{"a_test.go:2:13: table of tests that is a slice, use a map by name"},
 		},
+		"a word of the platform": {
+			path: "io/a.go", text: "package a\nconst h = \"X-Tenant\"\n",
+			want: []string{"io/a.go:2:12: X-Tenant is a name of the platform, which only platform/ knows"},
+		},
+		"a word of the platform where it belongs": {
+			path: "platform/a.go", text: "package a\nconst h = \"X-Tenant\"\n",
+		},
 		"default in a waiting loop": {
 			path: "a.go", text: "package a\nfunc f(c chan int) { for { select { case <-c: default: } } }\n",
 			want: []string{"a.go:2:47: default in a select inside a loop, wait instead"},
--- a/tools/shape/main.go
+++ b/tools/shape/main.go
@@ -1,6 +1,7 @@
 // Shape checks the syntax trees of a module against the shape of the project:
 // no bare go statement, no exported struct field, no table of tests that is a
-// slice, no default in a select that waits in a loop.
+// slice, no default in a select that waits in a loop, no name of the users'
+// platform outside the folder that translates.
 package main
 
 import (
@@ -56,5 +57,6 @@
 	}
 	c := &checker{files: files, test: strings.HasSuffix(path, "_test.go")}
 	c.file(file)
+	c.words(path, text, file.FileStart)
 	return c.found, nil
 }
