--- a/core/route/query.go
+++ b/core/route/query.go
@@ -24,11 +24,15 @@
 // Pick chooses one of the members for a request. It prefers those that admit
 // the request, of the own failure domain as long as they are not full, and
 // takes the less loaded of two random ones. The error is a *model.Refusal:
-// Shed when there are members and none admits the request.
+// Shed when there are members and none admits the request, NoTarget when none
+// can be reached.
 func (t *Table) Pick(now model.Instant, rnd *rand.Rand, members []fleet.Member, a Ask) (fleet.Member, error) {
 	if len(members) == 0 {
 		return fleet.Member{}, model.Refuse(model.NoTarget{}, 0)
 	}
+	if t.lostAll(now, members) {
+		return fleet.Member{}, model.Refuse(model.NoTarget{}, FirstPause)
+	}
 	all := t.admitting(t.candidates(now, t.trusted(now, members), a))
 	if len(all) == 0 {
 		return fleet.Member{}, model.Refuse(model.Shed{}, ShedWait)
@@ -82,6 +86,16 @@
 	return append(lost, aside[:min(len(aside), len(members)/OutlierPart)]...)
 }
 
+// lostAll reports whether no member could be reached a moment ago.
+func (t *Table) lostAll(now model.Instant, members []fleet.Member) bool {
+	for _, m := range members {
+		if s := t.targets[m.Name()]; s == nil || !s.lost || !s.waits(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // waits reports whether a target gets no work now.
 func (s *target) waits(now model.Instant) bool {
 	return now.Before(s.aside) || (s.lost && s.sent > 0)
@@ -92,7 +106,7 @@
 		return members
 	}
 	aside := t.Aside(now, members)
-	if len(aside) == 0 || len(aside) == len(members) {
+	if len(aside) == 0 {
 		return members
 	}
 	return slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool {
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -22,7 +22,7 @@
 // An error is a refusal.
 func (f *Front) attempt(ctx context.Context, j *job, p *parcel, t *tries) (*http.Response, error) {
 	m, level, err := f.choose(j, t)
-	if err != nil {
+	if t.none = err != nil; t.none {
 		f.met(j, level)
 		return nil, err
 	}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -21,6 +21,8 @@
 	began bool
 	// unknown reports whether an attempt may have run.
 	unknown bool
+	// none reports whether no target could be chosen for the last attempt.
+	none bool
 	// heard reports whether the last attempt ended by the word of the target's
 	// daemon.
 	heard bool
@@ -108,7 +110,7 @@
 // that is due, and otherwise the refusal for the caller.
 func (f *Front) again(ctx context.Context, j *job, p *parcel, t *tries, err error) error {
 	refusal := refusalOf(err)
-	if !t.began {
+	if !t.began || t.none {
 		return refusal
 	}
 	if fault, is := p.fault(refusal.Run()); is {
