Histograms of request times; ids of deep calls are kept

Cause: ids of calls four deep have 67 bytes, and names end at 64, so that the log showed an id of the daemon's own. Change: ids have a check of their own, up to 256 bytes. The histogram counts times by service and outcome.

--- a/io/codec/call.go
+++ b/io/codec/call.go
@@ -56,7 +56,7 @@
 	budget, errBudget := strconv.ParseUint(v.Get("budget"), 10, 16)
 	mark, errMark := strconv.ParseUint(v.Get("mark"), 16, 64)
 	bad := errMark != nil || errRank != nil || errOrder != nil || errLeft != nil || errBudget != nil || model.Rank(rank) > model.RankLowest
-	if bad || !lang.IsName(id) || (org != "" && !lang.IsName(org)) {
+	if bad || !model.Request(id).Valid() || (org != "" && !lang.IsName(org)) {
 		return model.Call{}, errors.Wrap(ErrForm, "decode call")
 	}
 	left = max(0, min(left, maxLeft.Microseconds()))
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -45,6 +45,7 @@
 	}
 	f.work.begin()
 	defer f.work.end()
+	came := time.Now()
 	j, err := f.accept(r)
 	defer f.close(j.call.ID())
 	began := false
@@ -57,6 +58,7 @@
 	if j.parent != "" {
 		f.running.refund(j.parent, &j.part, j.budget.Left())
 	}
+	f.measure(j, came, err)
 	switch {
 	case err == nil:
 		f.meter.Serve(j.call.Org(), j.service)
@@ -69,6 +71,19 @@
 	}
 }
 
+// measure counts the time that a request took.
+func (f *Front) measure(j *job, came time.Time, err error) {
+	var refusal *model.Refusal
+	if err != nil {
+		refusal = refusalOf(err)
+	}
+	service := j.service
+	if _, known := j.view.Config().Service(service); !known {
+		service = "" // what callers make up is no label
+	}
+	f.meter.Took(service, time.Since(came), refusal)
+}
+
 func (f *Front) refuse(w http.ResponseWriter, j *job, refusal *model.Refusal) {
 	refusal = refusal.WithWait(f.jitter(retry.Wait(refusal)))
 	f.meter.Refuse(j.call.Org(), refusal.Reason())
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -21,6 +22,7 @@
 	denied   *prometheus.CounterVec
 	retried  *prometheus.CounterVec
 	stranger *prometheus.CounterVec
+	took     *prometheus.HistogramVec
 	mu       sync.Mutex
 	counts   map[model.Org]*tally
 }
@@ -39,15 +41,43 @@
 		retried:  counter("retried_total", "Attempts repeated, by service and reason.", "service", "reason"),
 		denied:   counter("unretried_total", "Attempts not repeated although their reason would allow it, by service and cause.", "service", "cause"),
 		stranger: counter("strangers_total", "Requests to the operators' address without an operator's key, by path.", "path"),
-		counts:   map[model.Org]*tally{},
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "anvilstand", Name: "request_seconds",
+			Help: "Time from a caller's request to its end, by service and outcome.", Buckets: timeBuckets,
+		}, []string{"service", "outcome"}),
+		counts: map[model.Org]*tally{},
 	}
-	m.registry.MustRegister(m.served, m.refused, m.retried, m.denied, m.stranger)
+	m.registry.MustRegister(m.served, m.refused, m.retried, m.denied, m.stranger, m.took)
 	for _, r := range model.Reasons() {
 		m.refused.WithLabelValues("", model.ReasonName(r))
 	}
 	return m
 }
 
+// timeBuckets are the bounds of the histogram of times, in seconds: from a hop
+// within the fleet to the longest time that callers wait.
+var timeBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
+
+// Outcomes of a request, as the histogram of times tells them apart.
+const (
+	outcomeServed  = "served"
+	outcomeFailed  = "failed"
+	outcomeRefused = "refused"
+)
+
+// Took counts the time of a request: an answer of a target, or a refusal of a
+// request that did or did not run.
+func (m *Meter) Took(service model.Service, d time.Duration, refusal *model.Refusal) {
+	outcome := outcomeServed
+	if refusal != nil {
+		outcome = outcomeFailed
+		if _, not := refusal.Run().(model.NotRun); not {
+			outcome = outcomeRefused
+		}
+	}
+	m.took.WithLabelValues(string(service), outcome).Observe(d.Seconds())
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "anvilstand", Name: name, Help: help}, labels)
 }
