--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -26,7 +27,7 @@
 			m := meter.New()
 			m.Took("stock", 30*time.Millisecond, tc.refusal)
 			w := httptest.NewRecorder()
-			m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+			m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 			want := `anvilstand_request_seconds_bucket{outcome="` + tc.outcome + `",service="stock",le="0.05"} 1`
 			if !strings.Contains(w.Body.String(), want) {
 				t.Errorf("the counters lack %s", want)
