A stop takes no work that it has no time to end

The waits for the record, for titles and to settle added up to the whole time of the stop, so that it took requests until it ended, and cut those.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -161,10 +161,10 @@
 	d.front.Announce()
 	ctx, cancel := context.WithTimeout(context.Background(), d.prefs.Grace()*graceParts/10)
 	defer cancel()
+	settled := time.Now().Add(d.prefs.Settle())
 	_ = d.loop.Tell(ctx, ctrl.Depart{})
-	d.awaitRecord(ctx)
-	d.awaitTitles(ctx)
-	_ = clock.Rest(ctx, d.prefs.Settle())
+	d.awaitOthers(ctx)
+	_ = clock.Rest(ctx, time.Until(settled))
 	for _, ln := range d.raw {
 		_ = wire.Drain(ln)
 	}
@@ -182,6 +182,15 @@
 	d.log.Info("left", "cut", cut != nil)
 }
 
+// awaitOthers waits until others know that this daemon leaves and have what it
+// held. It is bounded as a whole, so that what was taken last has time to end.
+func (d *Daemon) awaitOthers(ctx context.Context) {
+	ctx, done := context.WithTimeout(ctx, resignTimeout)
+	defer done()
+	d.awaitRecord(ctx)
+	d.awaitTitles(ctx)
+}
+
 // awaitRecord waits for the record to say that this daemon leaves, if there is
 // another to write it.
 func (d *Daemon) awaitRecord(ctx context.Context) {
@@ -202,8 +211,6 @@
 // awaitTitles waits until the titles are resigned, so that others take them
 // over at once.
 func (d *Daemon) awaitTitles(ctx context.Context) {
-	ctx, done := context.WithTimeout(ctx, resignTimeout)
-	defer done()
 	_ = d.loop.Await(ctx, func(v *ctrl.View) bool { return v.Titles() == 0 })
 }
 
@@ -220,7 +227,8 @@
 	// graceParts is the part of the grace, in tenths, that a stop takes at most.
 	// The rest is for the process to end in.
 	graceParts = 9
-	// resignTimeout bounds the wait for the titles of shares to be resigned.
+	// resignTimeout bounds the wait for the titles of shares to be resigned, and
+	// for the record.
 	resignTimeout = 2 * time.Second
 )
 
