The last member that can be reached is never set aside as an outlier

Cause: found on rereading. Outliers were bounded to a third of all members, those out of reach included, so that with two of three out of reach the third could be set aside too, and requests were refused as shed. Change: the bound is a third of the members within reach. TestPick, the last that can be reached: refused before, chosen after.

--- a/core/route/query.go
+++ b/core/route/query.go
@@ -83,7 +83,7 @@
 	slices.SortStableFunc(aside, func(a, b fleet.Member) int {
 		return cmp.Compare(t.targets[b.Name()].broken, t.targets[a.Name()].broken)
 	})
-	return append(lost, aside[:min(len(aside), len(members)/OutlierPart)]...)
+	return append(lost, aside[:min(len(aside), (len(members)-len(lost))/OutlierPart)]...)
 }
 
 // lostAll reports whether no member could be reached a moment ago.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -110,6 +110,10 @@
 			},
 			list: members, want: map[string]bool{"refused: notarget, run: not": true},
 		},
+		"the last that can be reached, though an outlier": {
+			setup: func(t *route.Table) { unreach(t, "n1"); unreach(t, "n2"); breakOff(t, "e1") },
+			list:  members[:3], want: map[string]bool{"e1": true},
+		},
 		"and tried again soon": {
 			setup: func(t *route.Table) {
 				for _, m := range members {
