--- a/io/ctrl/loop.go
+++ b/io/ctrl/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,7 @@
 	// snapshotRevision is that of the newest snapshot known to be in the store.
 	snapshotRevision model.Revision
 	quotas           quotas
-	onView           func(*View)
+	onView           []func(*View)
 	crashes          *crash.Tracker
 	external         external
 }
@@ -170,9 +171,9 @@
 // View returns the newest view. It is never nil.
 func (l *Loop) View() *View { return l.view.Load() }
 
-// OnView sets a function that the control goroutine calls with each new view.
-// It must be set before Run, and f must not block.
-func (l *Loop) OnView(f func(*View)) { l.onView = f }
+// OnView adds a function that the control goroutine calls with each new view.
+// It must be added before Run, and f must not block.
+func (l *Loop) OnView(f func(*View)) { l.onView = append(l.onView, f) }
 
 // Await waits until a view meets a condition, or returns the error of ctx when
 // it ends earlier. It may skip views that are replaced quickly.
@@ -197,6 +198,7 @@
 	config     *conf.Config
 	membership uint64 // number of changes
 	members    []fleet.Member
+	ended      []fleet.Member // those of members whose process is taken to have ended
 	byService  map[model.Service][]fleet.Member
 }
 
@@ -205,9 +207,12 @@
 	if l.serving.byService != nil && l.serving.config == config && l.serving.membership == membership.Changes() {
 		return l.serving
 	}
+	members := membership.Members()
+	running := func(m fleet.Member) bool { return !membership.Ended(m) }
 	return servingState{
-		config: config, membership: membership.Changes(),
-		members: membership.Members(), byService: fleet.ByService(config, membership.Alive()),
+		config: config, membership: membership.Changes(), members: members,
+		ended:     slices.DeleteFunc(slices.Clone(members), running),
+		byService: fleet.ByService(config, membership.Alive()),
 	}
 }
 
@@ -216,8 +221,8 @@
 	l.serving = l.currentServing()
 	v := l.newView(now)
 	old := l.view.Swap(v)
-	if l.onView != nil {
-		l.onView(v)
+	for _, f := range l.onView {
+		f(v)
 	}
 	if old != nil {
 		close(old.replaced)
