--- a/proof/memnet/host.go
+++ b/proof/memnet/host.go
@@ -166,7 +166,7 @@
 		return nil, 0, h.changed, nil
 	}
 	to := n.hosts[ip]
-	if to == nil || to.listeners[port] == nil || to.listeners[port].draining {
+	if n.rules[there].refused || to == nil || to.listeners[port] == nil || to.listeners[port].draining {
 		return nil, 0, nil, errRefused
 	}
 	near, far := n.connect(h, to, port)
--- a/proof/memnet/network.go
+++ b/proof/memnet/network.go
@@ -39,8 +39,9 @@
 
 // rule is the fault of one direction.
 type rule struct {
-	cut   bool
-	delay time.Duration
+	cut     bool
+	refused bool
+	delay   time.Duration
 }
 
 // SetDelay sets the default one-way delay. SetLinkDelay overrides it for a
@@ -184,6 +185,21 @@
 	}
 }
 
+// Refuse has new connections between the hosts inside and all others refused, as
+// by a firewall that rejects them, and resets the open ones. With on false it ends
+// that.
+func (n *Network) Refuse(inside func(ip string) bool, on bool) {
+	for _, d := range n.directions() {
+		if inside(d.from) == inside(d.to) {
+			continue
+		}
+		n.setRule(d.from, d.to, func(r *rule) { r.refused = on })
+		if on {
+			n.Reset(d.from, d.to)
+		}
+	}
+}
+
 // directions returns every direction between two hosts, past ones included.
 func (n *Network) directions() []direction {
 	n.mu.Lock()
--- a/proof/memnet/network_test.go
+++ b/proof/memnet/network_test.go
@@ -65,6 +65,7 @@
 		"cut":            {fault: func(n *memnet.Network) { n.Cut(near, far) }, want: []string{"failed after 3s", "failed after 1s"}},
 		"reverse cut":    {fault: func(n *memnet.Network) { n.Cut(far, near) }, want: []string{"failed after 3s", "failed after 1s"}},
 		"cut and heal":   {fault: func(n *memnet.Network) { n.Cut(far, near); time.AfterFunc(time.Second, func() { n.Heal(far, near) }) }, want: []string{"/a after 1s", "/a after 2ms"}},
+		"refused":        {fault: func(n *memnet.Network) { n.Refuse(func(ip string) bool { return ip == near }, true) }, want: []string{"failed after 0s", "failed after 0s"}},
 		"blackhole":      {fault: func(n *memnet.Network) { n.Blackhole(near, far) }, want: []string{"failed after 3s", "/a after 4ms"}},
 		"delayed link":   {fault: func(n *memnet.Network) { n.SetLinkDelay(far, near, time.Second) }, want: []string{"/a after 1.001s", "/a after 1.001s"}},
 		"lost answer":    {fault: func(n *memnet.Network) { n.SetTap(onAnswer(memnet.Blackhole{})) }, want: []string{"failed after 3s", "failed after 3s"}},
