A target whose clock was set back is taken for restarted

Cause: statuses of a start whose process began earlier than the known one were ignored for good. A target that restarts after its clock was set back reports such a start, so that its daemon refused all work until it restarted too.

Change: a second status of that start, a second or more after the first and with none of the known start in between, shows that it runs. A late status of an earlier start, which comes once, still changes nothing.

--- a/core/life/command.go
+++ b/core/life/command.go
@@ -10,9 +10,10 @@
 // same start, and one that says ready after the same start has begun to drain
 // or deregistered. It reports whether the status is of a new start.
 func (t *Target) Update(now model.Instant, s Status) bool {
-	if t.isStale(s) {
+	if t.isStale(s) && !t.confirmsOther(now, s) {
 		return false
 	}
+	t.other = otherStart{}
 	isNewStart := !t.known || s.id != t.last.id || s.processStarted != t.last.processStarted
 	if !isNewStart && isStopping(t.last.state) && !isStopping(s.state) {
 		return false
@@ -23,6 +24,26 @@
 	return isNewStart
 }
 
+// confirmsOther reports whether a stale status shows that another start than the
+// known one runs. Its process may have started at an earlier time by a clock that
+// was set back. A status that arrives late comes once; a running target reports
+// again. Nothing is confirmed while statuses of the known start arrive.
+func (t *Target) confirmsOther(now model.Instant, s Status) bool {
+	started, gone := t.deregistered[s.id]
+	if s.processStarted == t.last.processStarted || (gone && s.processStarted == started) {
+		return false
+	}
+	if t.other.status.id != s.id || t.other.status.processStarted != s.processStarted {
+		t.other = otherStart{status: s, seenAt: now}
+		return false
+	}
+	if s.sequence <= t.other.status.sequence || now.Sub(t.other.seenAt) < otherStartDelay {
+		return false
+	}
+	delete(t.deregistered, s.id)
+	return true
+}
+
 // Deregister marks the target as deregistered, if id is its id. A later status of
 // the same start doesn't undo that.
 func (t *Target) Deregister(id string) {
--- a/core/life/life.go
+++ b/core/life/life.go
@@ -103,6 +103,14 @@
 	unreachable    bool
 	failedAt       model.Instant    // last failed connection
 	deregistered   map[string]int64 // start time of the process, by id
+	other          otherStart
+}
+
+// otherStart is the first status of a start that would be earlier than the known
+// one, and when it arrived.
+type otherStart struct {
+	status Status
+	seenAt model.Instant
 }
 
 // Limits and waits.
@@ -113,6 +121,9 @@
 	// reconnectDelay is the wait after a failed connection before another is
 	// tried. A new status ends it early.
 	reconnectDelay = 500 * time.Millisecond
+	// otherStartDelay is how long after the first status of a start that would be
+	// earlier than the known one a further one is taken as proof that it runs.
+	otherStartDelay = time.Second
 	// NotReadyRetryAfter is the wait that a refusal gives while the target takes
 	// no work. It is short because another target may take the request meanwhile.
 	NotReadyRetryAfter = 200 * time.Millisecond
--- a/core/life/life_test.go
+++ b/core/life/life_test.go
@@ -144,6 +144,59 @@
 			now:  9 * second,
 			want: "works, cold",
 		},
+		"restarted with its clock set back": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(5))
+				t.Update(second, status(1, life.Ready{}).WithRemainingWarmup(3*time.Second))
+				t.Update(2*second, status(2, life.Ready{}).WithRemainingWarmup(2*time.Second))
+			},
+			now:  2 * second,
+			want: "works, cold",
+		},
+		"replaced with the clock set back after deregistering": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(5))
+				t.Deregister("i1")
+				t.Update(second, status(1, life.Ready{}))
+				t.Update(2*second, status(2, life.Ready{}))
+			},
+			now:  2 * second,
+			want: "works",
+		},
+		"one late status of an earlier start": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(5))
+				t.Update(second, status(8, life.Draining{}))
+			},
+			want: "works",
+		},
+		"late statuses of an earlier start at the same time": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(5))
+				t.Update(second, status(7, life.Draining{}))
+				t.Update(second, status(8, life.Draining{}))
+			},
+			want: "works",
+		},
+		"late statuses of an earlier start among those of the known one": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(5))
+				t.Update(second, status(7, life.Draining{}))
+				t.Update(2*second, restarted(6))
+				t.Update(3*second, status(8, life.Draining{}))
+			},
+			now:  3 * second,
+			want: "works",
+		},
+		"statuses after deregistering": {
+			do: func(t *life.Target) {
+				t.Update(0, status(1, life.Ready{}))
+				t.Deregister("i1")
+				t.Update(second, status(2, life.Ready{}))
+				t.Update(3*second, status(3, life.Ready{}))
+			},
+			want: leaving,
+		},
 		"other target at its address": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
