A cold target gets no work while its warm-up rate is not known

Cause: without a configuration the warm-up rate is zero, which means no limit.

Change: while the target is cold and there is no configuration, the daemon refuses with notarget, and callers' daemons choose another target.

Result: TestRelayWithoutConfig/cold,_no_configuration failed before.

--- a/io/front/target.go
+++ b/io/front/target.go
@@ -50,12 +50,17 @@
 	f.target.core.Deregister(id)
 }
 
-// check refuses work while the target's status allows none. The reason is NoTarget
-// or Leaving.
+// check refuses work while the target's status allows none, and while the target is
+// cold and its warm-up rate is not known because there is no configuration yet. The
+// reason is NoTarget or Leaving.
 func (t *targetState) check() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Check(t.clock.Now())
+	now := t.clock.Now()
+	if t.core.IsCold(now) && t.loop.View().Config().Revision() == 0 {
+		return model.Refuse(model.NoTarget{}, life.NotReadyRetryAfter)
+	}
+	return t.core.Check(now)
 }
 
 // applyCapacity passes the target's slots on to the admission and, while the
