A route's timeout covers the response until its end

Report: a faulty target may send bytes without end, in a head or a body, until the connection is closed. Heads, chunk headers, trailers and interim responses are bounded already; a body without end ran on for as long as the caller read it, unless the caller had set a deadline.

Change: the timeout of a route covers the whole response, as a caller's deadline does. Routes without a timeout stream on as before.

--- a/io/front/deadline.go
+++ b/io/front/deadline.go
@@ -17,27 +17,27 @@
 )
 
 // requestTimer cancels a request's context when its time is over. A deadline set
-// by the caller covers the whole response. Any other covers the time until the
-// response begins; after that the response only has to make progress within the
-// stall time.
+// by the caller or by the route covers the whole response. Any other covers the time
+// until the response begins; after that the response only has to make progress within
+// the stall time.
 type requestTimer struct {
-	timer      *time.Timer
-	cancel     context.CancelCauseFunc
-	stall      time.Duration
-	fromCaller bool // the deadline was set by the caller
+	timer          *time.Timer
+	cancel         context.CancelCauseFunc
+	stall          time.Duration
+	coversResponse bool
 }
 
-func newRequestTimer(ctx context.Context, left, stall time.Duration, fromCaller bool) (context.Context, *requestTimer) {
+func newRequestTimer(ctx context.Context, left, stall time.Duration, coversResponse bool) (context.Context, *requestTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := &requestTimer{cancel: cancel, stall: stall, fromCaller: fromCaller}
+	t := &requestTimer{cancel: cancel, stall: stall, coversResponse: coversResponse}
 	t.timer = time.AfterFunc(left, func() { cancel(errLate) })
 	return ctx, t
 }
 
 // progressed restarts the stall time after the response made progress, unless
-// the deadline was set by the caller.
+// the deadline covers the response.
 func (t *requestTimer) progressed() {
-	if !t.fromCaller {
+	if !t.coversResponse {
 		t.timer.Reset(t.stall)
 	}
 }
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -24,9 +24,9 @@
 	info     form.RequestInfo
 	budget   retry.Budget
 	deadline time.Time
-	// deadlineFromCaller is set if the caller gave a deadline. It then covers
-	// the response until its end (see requestTimer).
-	deadlineFromCaller bool
+	// coversResponse is set if the deadline covers the response until its end (see
+	// requestTimer): the caller gave one, or the route has a timeout.
+	coversResponse bool
 	// parentToken is the token of the running request on whose behalf the
 	// target makes this one, empty for a request that names none.
 	parentToken string
@@ -141,7 +141,7 @@
 // acceptCall sets the job's call and deadline, as acceptChild or acceptRoot does.
 func (f *Front) acceptCall(j *job, r *http.Request, parentToken string) error {
 	left := f.timeLeft(j)
-	j.deadlineFromCaller = j.info.TimeLeft() > 0
+	j.coversResponse = j.info.TimeLeft() > 0 || j.route.Timeout() > 0
 	if parentToken != "" {
 		return f.acceptChild(j, parentToken, left)
 	}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return false, err
 	}
-	ctx, timer := newRequestTimer(r.Context(), time.Until(j.deadline), f.prefs.StallTimeout(), j.deadlineFromCaller)
+	ctx, timer := newRequestTimer(r.Context(), time.Until(j.deadline), f.prefs.StallTimeout(), j.coversResponse)
 	defer timer.stop()
 	f.retryThrottle.addRequest(j.call.Org(), j.service)
 	j.call = withFingerprint(*j, r, p)
