A target's refusal ends its connection

Report: a faulty target wrote an earlier refusal once more on a kept connection. It was taken for the answer to the next request there, which the target ran: the caller was told that it had not run, or it was sent to a second target.

It can happen here: TestRepeatedRefusal failed in its four cases (refused as not run, but run once), with the id as well, since a retry has the id of the first attempt.

Change: the connection of a response that says a request did not run is closed, so that nothing later on it can be taken for another answer.

It costs a new connection for each refusal of a target.

--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -183,6 +183,8 @@
 	}
 	if info.Declined() {
 		e.outcome = admit.Rejected{}
+		// A faulty target may repeat the refusal as the answer to a later request.
+		conn.discard()
 		_ = resp.Body.Close()
 		return nil, model.Refuse(model.Declined{}, 0)
 	}
