One odd entry hides no other of a member list

Report: another writer leaves one odd entry among those of the endpoints: deeply nested, with a number too large, with a port out of range.

Here: no process ends by it, but one entry that did not decode hid the whole list from a daemon that started, and the damaged value stayed in the store until some member changed. A port out of range was taken and dialed.

Change: entries that do not decode, are of another domain or have no valid address are left out and counted, and a watcher replaces the stored value at once, by the members known if nothing of it decodes.

--- a/core/gossip/command.go
+++ b/core/gossip/command.go
@@ -67,6 +67,14 @@
 	n.forward(now, peer.NewMemberDelta(delta), out)
 }
 
+// NoteDamaged records that something of a stored member list did not decode. A watcher
+// of its failure domain replaces it by the list that is known.
+func (n *Node) NoteDamaged(now model.Instant, list fleet.MemberList) {
+	if list.Domain() == n.self.Domain() && list.Version() != n.damaged.version {
+		n.damaged = damagedList{version: list.Version(), readAt: now}
+	}
+}
+
 // keepDelta keeps a change of a member list for members that are behind.
 func (n *Node) keepDelta(delta fleet.Delta) {
 	if n.deltas == nil {
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -84,6 +84,7 @@
 	deltas             map[model.Domain][]fleet.Delta
 	lastContactOutside model.Instant // last contact with the store or another domain
 	ownListSeen        bool          // a list of the own domain was seen
+	damaged            damagedList
 	domainCoverages    map[model.Domain]DomainCoverage
 	incoming           assembly // snapshot being received
 	order              memberOrder
@@ -132,6 +133,13 @@
 	addedAt model.Instant
 }
 
+// damagedList is the version of the own failure domain's list of which something did
+// not decode, zero for none, and when it was read.
+type damagedList struct {
+	version uint64
+	readAt  model.Instant
+}
+
 // DomainCoverage is the coverage last received from another failure domain.
 type DomainCoverage struct {
 	time     model.Instant
--- a/core/gossip/query.go
+++ b/core/gossip/query.go
@@ -154,9 +154,10 @@
 		return list, false
 	}
 	members := list.Members()
-	changed := false
+	delay := time.Duration(index) * secondWriterDelay
+	changed := n.damaged.version > 0 && n.damaged.version == list.Version() && !now.Before(n.damaged.readAt.Add(delay))
 	for _, e := range n.pendingEdits {
-		if e.isApplied(list) || now.Before(e.addedAt.Add(time.Duration(index)*secondWriterDelay)) {
+		if e.isApplied(list) || now.Before(e.addedAt.Add(delay)) {
 			continue
 		}
 		changed = true
--- a/io/codec/codec.go
+++ b/io/codec/codec.go
@@ -25,6 +25,8 @@
 const (
 	maxElements = 1 << 16
 	maxNesting  = 8
+	// maxSplitNesting is the largest limit that the decoder allows.
+	maxSplitNesting = 1<<16 - 1
 )
 
 var decMode = must(cbor.DecOptions{
@@ -33,6 +35,14 @@
 	IndefLength:      cbor.IndefLengthForbidden,
 }.DecMode())
 
+// splitMode splits a stored list into its entries, without a limit on how deeply one
+// of them is nested, so that such an entry does not hide the others.
+var splitMode = must(cbor.DecOptions{
+	MaxArrayElements: maxElements,
+	MaxNestedLevels:  maxSplitNesting,
+	IndefLength:      cbor.IndefLengthForbidden,
+}.DecMode())
+
 func must(m cbor.DecMode, err error) cbor.DecMode {
 	if err != nil {
 		panic(err)
--- a/io/codec/member.go
+++ b/io/codec/member.go
@@ -1,6 +1,9 @@
 package codec
 
 import (
+	"net"
+	"strconv"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
@@ -35,13 +38,48 @@
 	return pack(m.Name(), m.Domain(), m.Service(), m.Address(), m.Leaving(), m.Incarnation())
 }
 
-// DecodeMembers decodes the member list of a failure domain.
-func DecodeMembers(data []byte) ([]fleet.Member, error) {
-	var packed []cbor.RawMessage
-	if err := unpackVersioned(data, &packed); err != nil {
+// DecodeMembers decodes the member list of a failure domain. Entries that do not
+// decode, or are of another domain, are left out; the error is then that of the
+// first one. The list is nil if the value as a whole does not decode.
+func DecodeMembers(d model.Domain, data []byte) ([]fleet.Member, error) {
+	packed, err := splitMembers(data)
+	if err != nil {
 		return nil, errors.Wrap(err, "decode members")
 	}
-	return unpackMembers(packed)
+	list := make([]fleet.Member, 0, len(packed))
+	var firstErr error
+	for i, p := range packed {
+		m, err := unpackMember(p)
+		if err == nil && m.Domain() != d {
+			err = errors.Wrapf(ErrMalformed, "member of domain %s in the list of %s", m.Domain(), d)
+		}
+		if err == nil {
+			list = append(list, m)
+		} else if firstErr == nil {
+			firstErr = errors.Wrapf(err, "decode member %d", i+1)
+		}
+	}
+	return list, firstErr
+}
+
+// splitMembers returns the encoded members of a member list.
+func splitMembers(data []byte) ([]cbor.RawMessage, error) {
+	var raw []cbor.RawMessage
+	if err := splitMode.Unmarshal(data, &raw); err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	var version int
+	if len(raw) == 0 || decMode.Unmarshal(raw[0], &version) != nil {
+		return nil, errors.Wrap(ErrMalformed, "no version")
+	}
+	if version != Version {
+		return nil, errors.Wrapf(ErrVersion, "version %d", version)
+	}
+	var packed []cbor.RawMessage
+	if len(raw) != 2 || splitMode.Unmarshal(raw[1], &packed) != nil {
+		return nil, errors.Wrap(ErrMalformed, "no list")
+	}
+	return packed, nil
 }
 
 func unpackMembers(packed []cbor.RawMessage) ([]fleet.Member, error) {
@@ -71,9 +109,22 @@
 	if !lang.IsName(string(name)) || !lang.IsName(string(domain)) || !lang.IsName(string(service)) {
 		return fleet.Member{}, errors.Wrap(ErrMalformed, "invalid instance, domain or service name")
 	}
+	if !isAddress(address) {
+		return fleet.Member{}, errors.Wrap(ErrMalformed, "address is not host:port")
+	}
 	m := fleet.NewMember(name, domain, service, address).WithIncarnation(incarnation)
 	if leaving {
 		m = m.AsLeaving()
 	}
 	return m, nil
 }
+
+// isAddress reports whether an address is host:port, with a port from 1 to 65535.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
--- a/io/ctrl/command.go
+++ b/io/ctrl/command.go
@@ -21,7 +21,10 @@
 type SnapshotRead struct{ snapshot change.Snapshot }
 
 // MemberListRead carries the member list of a failure domain, as stored.
-type MemberListRead struct{ list fleet.MemberList }
+type MemberListRead struct {
+	list    fleet.MemberList
+	damaged bool
+}
 
 // StoreReached reports that the store answered.
 type StoreReached struct{}
@@ -70,6 +73,13 @@
 // membership only if the list is newer than the known one.
 func NewMemberListRead(list fleet.MemberList) MemberListRead { return MemberListRead{list: list} }
 
+// AsDamaged returns the command for a list of which something did not decode, so that
+// the stored value has to be replaced.
+func (c MemberListRead) AsDamaged() MemberListRead {
+	c.damaged = true
+	return c
+}
+
 // NewSnapshotWritten returns the command for the revision of the newest snapshot in the
 // store.
 func NewSnapshotWritten(rev model.Revision) SnapshotWritten { return SnapshotWritten{revision: rev} }
@@ -97,6 +107,9 @@
 		return l.node.TakeSnapshot(c.snapshot)
 	case MemberListRead:
 		l.node.TakeMemberList(now, c.list, out)
+		if c.damaged {
+			l.node.NoteDamaged(now, c.list)
+		}
 	case StoreReached:
 		l.node.StoreReached(now)
 	case ValueRefused:
--- a/io/watch/member_test.go
+++ b/io/watch/member_test.go
@@ -1,6 +1,7 @@
 package watch_test
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 	"anvilstand/core/conf"
 	"anvilstand/core/fleet"
 	"anvilstand/core/model"
+	"anvilstand/io/codec"
 	"anvilstand/io/ctrl"
 	"anvilstand/io/fake"
 	"anvilstand/io/watch"
@@ -465,3 +467,45 @@
 		}
 	})
 }
+
+// TestDamagedMemberList overwrites a member list by a value of which something does not
+// decode. No daemon may lose a member by it, and the watchers must replace the value, so
+// that daemons that start later read the list.
+func TestDamagedMemberList(t *testing.T) {
+	const key = "fleet.south"
+	cases := map[string]func(list []byte) []byte{
+		"nonsense":     func([]byte) []byte { return []byte("nonsense") },
+		"nested value": func([]byte) []byte { return append(bytes.Repeat([]byte{0x81}, 500000), 1) },
+		// The list of four entries gets a fifth one.
+		"odd entry": func(list []byte) []byte {
+			odd := append(bytes.Repeat([]byte{0x81}, 60000), 1)
+			return append(append([]byte{list[0], list[1], list[2] + 1}, odd...), list[3:]...)
+		},
+	}
+	for name, damage := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t.Context(), 11)
+				defer c.close(t)
+				startSettled(t, c, 12)
+				item, _ := c.store.Get(c.ctx, key)
+				if _, err := c.store.Swap(c.ctx, key, item.Version(), damage(item.Data()), 0); err != nil {
+					t.Fatal(err)
+				}
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					for _, n := range c.all() {
+						if known := len(n.loop.View().Members()); known != 12 {
+							t.Fatalf("%s knows %d members, want 12", n.member.Name(), known)
+						}
+					}
+				}
+				item, _ = c.store.Get(c.ctx, key)
+				list, err := codec.DecodeMembers("south", item.Data())
+				if err != nil || len(list) != 4 {
+					t.Errorf("the stored list has %d members, want 4: %v", len(list), err)
+				}
+			})
+		})
+	}
+}
--- a/io/watch/members.go
+++ b/io/watch/members.go
@@ -92,18 +92,22 @@
 }
 
 // handleMemberList hands the member list of a failure domain to the control loop.
-// When the value does not decode, it hands over the members known so far, at the
-// version of the value, so that the next write replaces it, and returns the
-// decoding error.
+// Entries that do not decode are left out. When the value as a whole does not, it
+// hands over the members known so far. In both cases it has a watcher replace the
+// value, and returns the decoding error.
 func (sy *syncer) handleMemberList(ctx context.Context, d model.Domain, item store.Item) error {
 	if item.Version() == 0 {
 		return sy.loop.Do(ctx, ctrl.NewMemberListRead(fleet.NewMemberList(d, 0, nil)))
 	}
-	members, err := codec.DecodeMembers(item.Data())
-	if err != nil {
+	members, err := codec.DecodeMembers(d, item.Data())
+	if members == nil {
 		members = slices.DeleteFunc(slices.Clone(sy.loop.View().Members()), func(m fleet.Member) bool { return m.Domain() != d })
 	}
-	if doErr := sy.loop.Do(ctx, ctrl.NewMemberListRead(fleet.NewMemberList(d, item.Version(), members))); doErr != nil {
+	read := ctrl.NewMemberListRead(fleet.NewMemberList(d, item.Version(), members))
+	if err != nil {
+		read = read.AsDamaged()
+	}
+	if doErr := sy.loop.Do(ctx, read); doErr != nil {
 		return doErr
 	}
 	return err
