A quota record that does not decode is replaced

Cause: a record that did not decode counted as a store that did not answer. A fleet that started on such a value never had tokens of that organisation, and refused all of its requests, since only a holder writes the record.

Change: it counts as a record without leases, so the next claim replaces it.

Found by looking for other stored values that nothing withdraws.

--- a/core/quota/store.go
+++ b/core/quota/store.go
@@ -13,7 +13,7 @@
 	Swapped struct{ version uint64 }
 	// Conflict is a swap that found another version and changed nothing.
 	Conflict struct{}
-	// NoAnswer is a call without an answer, or a read whose value did not decode.
+	// NoAnswer is a call without an answer.
 	// A swap may have taken effect.
 	NoAnswer struct{}
 )
--- a/io/watch/lease.go
+++ b/io/watch/lease.go
@@ -62,7 +62,7 @@
 	}
 	for _, a := range others {
 		g.Go(func() error {
-			if result := leaseCall(ctx, s, a); result != nil {
+			if result := leaseCall(ctx, s, l, a); result != nil {
 				_ = l.Do(ctx, result)
 			}
 			return nil
@@ -98,18 +98,18 @@
 			_ = l.Do(ctx, ctrl.NewStoreCallEnded(r.Org(), r.Op(), quota.NoAnswer{}))
 			continue
 		}
-		_ = l.Do(ctx, readResult(r, items[QuotaRecordKey(r.Org())]))
+		_ = l.Do(ctx, readResult(l, r, items[QuotaRecordKey(r.Org())]))
 	}
 }
 
 // leaseCall makes a store call and returns the command that carries its result to
 // the control loop, nil when a is no store call.
-func leaseCall(ctx context.Context, s store.Store, a quota.Action) ctrl.Command {
+func leaseCall(ctx context.Context, s store.Store, l *ctrl.Loop, a quota.Action) ctrl.Command {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	switch a := a.(type) {
 	case quota.Read:
-		return readRecord(ctx, s, a)
+		return readRecord(ctx, s, l, a)
 	case quota.Swap:
 		return ctrl.NewStoreCallEnded(a.Org(), a.Op(), swapRecord(ctx, s, a))
 	case quota.Send, quota.AddBatch, quota.MarkExhausted:
@@ -118,23 +118,24 @@
 	return nil
 }
 
-func readRecord(ctx context.Context, s store.Store, a quota.Read) ctrl.Command {
+func readRecord(ctx context.Context, s store.Store, l *ctrl.Loop, a quota.Read) ctrl.Command {
 	item, err := s.Get(ctx, QuotaRecordKey(a.Org()))
 	if err != nil {
 		return ctrl.NewStoreCallEnded(a.Org(), a.Op(), quota.NoAnswer{})
 	}
-	return readResult(a, item)
+	return readResult(l, a, item)
 }
 
-// readResult returns the command that carries the value read. A value that does
-// not decode counts as a store that did not answer.
-func readResult(a quota.Read, item store.Item) ctrl.Command {
+// readResult returns the command that carries the value read. A value that does not
+// decode counts as a record without leases, which the next claim replaces.
+func readResult(l *ctrl.Loop, a quota.Read, item store.Item) ctrl.Command {
 	if item.Version() == 0 {
 		return ctrl.NewRecordRead(a.Org(), a.Op(), 0, quota.Record{})
 	}
 	record, err := codec.DecodeRecord(item.Data())
-	if err != nil {
-		return ctrl.NewStoreCallEnded(a.Org(), a.Op(), quota.NoAnswer{})
+	if err != nil || !record.Valid() {
+		l.Post(ctrl.ValueRefused{})
+		record = quota.Record{}
 	}
 	return ctrl.NewRecordRead(a.Org(), a.Op(), item.Version(), record)
 }
