--- a/proof/cells/fault.go
+++ b/proof/cells/fault.go
@@ -42,6 +42,9 @@
 	// CutBoth cuts a failure domain off from the others and the store, both
 	// ways.
 	CutBoth struct{}
+	// CutRefusing cuts a failure domain off from the others and the store by
+	// refusing connections and resetting open ones.
+	CutRefusing struct{}
 	// Silent makes open connections drop everything without an error.
 	Silent struct{}
 	// StoreDown makes the store unavailable.
@@ -64,6 +67,7 @@
 func (Reorder) isFault()     {}
 func (CutOne) isFault()      {}
 func (CutBoth) isFault()     {}
+func (CutRefusing) isFault() {}
 func (Silent) isFault()      {}
 func (StoreDown) isFault()   {}
 func (StoreSlow) isFault()   {}
@@ -84,6 +88,7 @@
 		Reorder{},
 		CutOne{},
 		CutBoth{},
+		CutRefusing{},
 		Silent{},
 		StoreDown{},
 		StoreSlow{},
@@ -111,7 +116,7 @@
 	switch fault.(type) {
 	case None, Duplicate, Delay, Reorder, StoreDown, StoreSlow, StoreLost:
 		return true
-	case CrashBefore, CrashAfter, CrashSender, Pause, PauseSender, LostAnswer, CutOne, CutBoth, Silent:
+	case CrashBefore, CrashAfter, CrashSender, Pause, PauseSender, LostAnswer, CutOne, CutBoth, CutRefusing, Silent:
 		return false
 	}
 	return false
@@ -145,6 +150,8 @@
 		f.isolate(domainDigit(w), true)
 	case CutBoth:
 		f.isolate(domainDigit(w), false)
+	case CutRefusing:
+		f.refuse(domainDigit(w))
 	case Silent:
 		f.net.Blackhole(w.From(), w.To())
 		f.history.AddFault(memnet.KeepAliveTimeout)
@@ -273,3 +280,12 @@
 	f.net.Partition(inside, inboundOnly, true)
 	time.AfterFunc(faultDuration, func() { f.net.Partition(inside, inboundOnly, false) })
 }
+
+// refuse cuts a failure domain off from the others and the store by refusing
+// connections. Open ones are reset after the write that matched the step.
+func (f *fleet) refuse(domain byte) {
+	f.history.AddFault(faultDuration)
+	inside := func(ip string) bool { return ip[3] == domain }
+	time.AfterFunc(linkDelay, func() { f.net.Refuse(inside, true) })
+	time.AfterFunc(faultDuration, func() { f.net.Refuse(inside, false) })
+}
