The end of a refusal drops the pending removal of the member

Cause: a daemon that leaves out a member of its own domain has its removal from the member list pending. When the mark ran out, the removal stayed, and was made once the daemon became a watcher or reached the store: a living member dropped out for some seconds.

Change: the removal is dropped with the mark, also when it runs out; proof of an end withdraws the mark and keeps the removal. A daemon takes no refusal of its own address, and looks for refused members only while there are some.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -67,6 +67,7 @@
 			ms.ended = map[model.Incarnation]bool{}
 		}
 		ms.ended[process] = true
+		delete(ms.refused, process)
 		ms.refreshName(m.name)
 		ms.changes++
 		delete(ms.ordered, m.domain)
@@ -121,16 +122,20 @@
 	return true
 }
 
-// ExpireRefusals withdraws the marks of MarkRefused whose time is over.
-func (ms *Membership) ExpireRefusals(now model.Instant) {
+// ExpireRefusals withdraws the marks of MarkRefused whose time is over, and returns
+// the processes that had them.
+func (ms *Membership) ExpireRefusals(now model.Instant) []model.Incarnation {
+	var expired []model.Incarnation
 	for process, until := range ms.refused {
 		if now.Before(until) {
 			continue
 		}
+		expired = append(expired, process)
 		delete(ms.refused, process)
 		clear(ms.ordered)
 		ms.changes++
 	}
+	return expired
 }
 
 // refreshName updates which member a name stands for, leaving out processes
--- a/core/fleet/query.go
+++ b/core/fleet/query.go
@@ -49,6 +49,9 @@
 // its process has ended, or connections to it are refused.
 func (ms *Membership) IsLeftOut(m Member) bool { return ms.Ended(m) || ms.Refused(m) }
 
+// HasRefused reports whether any process has the mark of MarkRefused.
+func (ms *Membership) HasRefused() bool { return len(ms.refused) > 0 }
+
 // LeftOut returns the members for which IsLeftOut holds.
 func (ms *Membership) LeftOut() []Member {
 	return slices.DeleteFunc(ms.Members(), func(m Member) bool { return !ms.IsLeftOut(m) })
--- a/core/gossip/command.go
+++ b/core/gossip/command.go
@@ -110,8 +110,11 @@
 // to it. The watchers of all failure domains find out by themselves; a watcher has
 // those below it in the tree leave the member out too.
 func (n *Node) NoteRefused(now model.Instant, address string, process model.Incarnation, out *peer.Outbox) {
+	if address == n.self.Address() {
+		return
+	}
 	m, ok := n.membership.MarkRefused(address, process, now.Add(RefusalTime))
-	if !ok || m.Name() == n.self.Name() {
+	if !ok {
 		return
 	}
 	if m.Domain() == n.self.Domain() {
@@ -129,15 +132,33 @@
 	if !n.membership.WithdrawRefusal(m) {
 		return
 	}
-	if e := n.pendingEdits[memberKeyOf(m)]; e.remove {
-		delete(n.pendingEdits, memberKeyOf(m))
-	}
+	n.dropRemoval(m.Incarnation())
 	n.forward(now, peer.NewAnnounce(m), out)
 }
 
+// expireRefusals takes members in again that have neither been heard from nor
+// refused a connection for RefusalTime.
+func (n *Node) expireRefusals(now model.Instant) {
+	for _, process := range n.membership.ExpireRefusals(now) {
+		n.dropRemoval(process)
+	}
+}
+
+// dropRemoval drops the pending removal of a process from the member list.
+func (n *Node) dropRemoval(process model.Incarnation) {
+	for key, e := range n.pendingEdits {
+		if e.remove && key.process == process {
+			delete(n.pendingEdits, key)
+		}
+	}
+}
+
 // probeRefused sends heartbeats to members that refuse connections, some at each
 // tick in turn, to find out when they accept them again.
 func (n *Node) probeRefused(now model.Instant, out *peer.Outbox) {
+	if !n.membership.HasRefused() {
+		return
+	}
 	var refused []fleet.Member
 	for _, m := range n.membership.LeftOut() {
 		if n.membership.Refused(m) {
@@ -200,7 +221,7 @@
 func (n *Node) Tick(now model.Instant, out *peer.Outbox) {
 	n.ticks++
 	n.sweep(now)
-	n.membership.ExpireRefusals(now)
+	n.expireRefusals(now)
 	n.order.valid = false
 	n.announce(now, out)
 	members, index := n.rendezvousOrder(now)
--- a/core/gossip/node_test.go
+++ b/core/gossip/node_test.go
@@ -120,6 +120,27 @@
 			if diff := cmp.Diff(2, len(n.Membership().Alive())); diff != "" {
 				t.Error("members that are not proven to have ended", diff)
 			}
+			if _, changed := n.DesiredMemberList(at(time.Second + RefusalTime)); changed != (tc.reachable == 1) {
+				t.Errorf("a removal from the member list is pending: %v", changed)
+			}
 		})
 	}
 }
+
+// TestEndAfterRefusal checks that the proven end of a member that refused a connection
+// before stays known, and its removal pending, after RefusalTime.
+func TestEndAfterRefusal(t *testing.T) {
+	var out peer.Outbox
+	n := New(member("a", 1), nil, nil)
+	b := member("b", 2)
+	n.TakeMemberList(0, fleet.NewMemberList("north", 1, []fleet.Member{member("a", 1), b}), &out)
+	n.NoteRefused(at(time.Second), b.Address(), 2, &out)
+	n.ConfirmEnded(at(2*time.Second), b.Address(), 2, &out)
+	n.Tick(at(time.Second+RefusalTime), &out)
+	if diff := cmp.Diff(1, len(n.Membership().Alive())); diff != "" {
+		t.Error(diff)
+	}
+	if _, changed := n.DesiredMemberList(at(2*time.Second + RefusalTime)); !changed {
+		t.Error("no removal from the member list is pending")
+	}
+}
