Connections of refusals are kept where the refusal is certain

Cause: each refusal of a target closed its connection, and a target that refuses much was dialed anew for each request.

Change: a connection remembers which requests the target refused on it. A second refusal of one, or one without an id after any, may be an earlier one written once more: the request may have run. Otherwise the connection is kept, but for requests that may not be sent twice.

--- a/io/form/form.go
+++ b/io/form/form.go
@@ -140,6 +140,7 @@
 	otherTarget  bool
 	otherRequest bool
 	draining     bool
+	unnamed      bool
 }
 
 // Declined reports whether the target states that it did not run the request.
@@ -155,6 +156,15 @@
 // Draining reports whether the target drains: it asks for no new work.
 func (i ResponseInfo) Draining() bool { return i.draining }
 
+// Unnamed reports whether the response lacks the id of the request that it answers.
+func (i ResponseInfo) Unnamed() bool { return i.unnamed }
+
+// AsUnnamed returns the metadata with Unnamed set.
+func (i ResponseInfo) AsUnnamed() ResponseInfo {
+	i.unnamed = true
+	return i
+}
+
 // AsDeclined returns the metadata with Declined set.
 func (i ResponseInfo) AsDeclined() ResponseInfo {
 	i.declined = true
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -176,15 +176,17 @@
 	info := f.form.ReadResponse(call, resp)
 	f.targetDrain.note(info.Draining(), sentAt)
 	f.target.noteResponse(info)
-	if info.OtherRequest() {
+	if info.OtherRequest() || (info.Declined() && !conn.noteRefusal(call.ID(), info.Unnamed())) {
 		conn.discard()
 		_ = resp.Body.Close()
 		return nil, model.Fail(model.Broken{})
 	}
 	if info.Declined() {
 		e.outcome = admit.Rejected{}
-		// A faulty target may repeat the refusal as the answer to a later request.
-		conn.discard()
+		if !isRepeatable(out.Method) {
+			// On this connection, a second refusal of the request would be doubtful.
+			conn.discard()
+		}
 		_ = resp.Body.Close()
 		return nil, model.Refuse(model.Declined{}, 0)
 	}
@@ -214,11 +216,14 @@
 	f.form.AddTargetHeaders(out.Header, call, form.NewExecution(token, f.target.id()))
 }
 
-// targetTransportFor returns the transport for a method. Only GET and HEAD
-// requests may be sent on a connection that the target may have closed.
+// targetTransportFor returns the transport for a method. Only repeatable requests
+// may be sent on a connection that the target may have closed.
 func (f *Front) targetTransportFor(method string) http.RoundTripper {
-	if method == http.MethodGet || method == http.MethodHead {
+	if isRepeatable(method) {
 		return f.targetTransport
 	}
 	return f.freshTargetTransport
 }
+
+// isRepeatable reports whether requests of a method may be sent twice.
+func isRepeatable(method string) bool { return method == http.MethodGet || method == http.MethodHead }
--- a/io/front/roundtrip.go
+++ b/io/front/roundtrip.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"anvilstand/core/model"
 	"anvilstand/io/wire"
 )
 
@@ -17,6 +18,28 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	refused map[model.Request]bool // requests that the target refused on it
+}
+
+// maxRefusals bounds the refused requests that a connection remembers. It is closed
+// after that many.
+const maxRefusals = 64
+
+// noteRefusal records that the target refused a request on this connection, by a
+// response that has the request's id or, if unnamed, none. It returns false if the
+// response may be an earlier refusal that a faulty target has written once more.
+func (c *countingConn) noteRefusal(id model.Request, unnamed bool) bool {
+	if c.refused[id] || (unnamed && len(c.refused) > 0) {
+		return false
+	}
+	if c.refused == nil {
+		c.refused = map[model.Request]bool{}
+	}
+	c.refused[id] = true
+	if len(c.refused) == maxRefusals {
+		c.discard()
+	}
+	return true
 }
 
 // Write implements net.Conn.
