Stored values of a later protocol version are left alone

Cause: with the last changes, a member list or quota record of a protocol version that is not known here counted as damaged and was replaced, so that daemons of two versions would overwrite each other's values.

Change: such a list is not replaced, and such a record counts as a store that did not answer, as before.

Result: TestLaterVersionStays failed before.

--- a/io/watch/lease.go
+++ b/io/watch/lease.go
@@ -127,12 +127,16 @@
 }
 
 // readResult returns the command that carries the value read. A value that does not
-// decode counts as a record without leases, which the next claim replaces.
+// decode counts as a record without leases, which the next claim replaces. One of an
+// unknown protocol version counts as a store that did not answer.
 func readResult(l *ctrl.Loop, a quota.Read, item store.Item) ctrl.Command {
 	if item.Version() == 0 {
 		return ctrl.NewRecordRead(a.Org(), a.Op(), 0, quota.Record{})
 	}
 	record, err := codec.DecodeRecord(item.Data())
+	if errors.Is(err, codec.ErrVersion) {
+		return ctrl.NewStoreCallEnded(a.Org(), a.Op(), quota.NoAnswer{})
+	}
 	if err != nil || !record.Valid() {
 		l.Post(ctrl.ValueRefused{})
 		record = quota.Record{}
--- a/io/watch/member_test.go
+++ b/io/watch/member_test.go
@@ -320,6 +320,27 @@
 	}
 }
 
+// TestLaterVersionStays stores a member list of a later protocol version. The watchers
+// must not replace it.
+func TestLaterVersionStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context(), 12)
+		defer c.close(t)
+		startSettled(t, c, 12)
+		item, _ := c.store.Get(c.ctx, "fleet.south")
+		later := bytes.Clone(item.Data())
+		later[1] = codec.Version + 1
+		version, err := c.store.Swap(c.ctx, "fleet.south", item.Version(), later, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if item, _ = c.store.Get(c.ctx, "fleet.south"); item.Version() != version {
+			t.Error("the list of a later protocol version was replaced")
+		}
+	})
+}
+
 // checkKept checks that all nodes still have revision 1 and 12 members.
 func checkKept(t *testing.T, c *cluster) {
 	t.Helper()
--- a/io/watch/members.go
+++ b/io/watch/members.go
@@ -94,7 +94,7 @@
 // handleMemberList hands the member list of a failure domain to the control loop.
 // Entries that do not decode are left out. When the value as a whole does not, it
 // hands over the members known so far. In both cases it has a watcher replace the
-// value, and returns the decoding error.
+// value, unless that is of an unknown protocol version, and returns the decoding error.
 func (sy *syncer) handleMemberList(ctx context.Context, d model.Domain, item store.Item) error {
 	if item.Version() == 0 {
 		return sy.loop.Do(ctx, ctrl.NewMemberListRead(fleet.NewMemberList(d, 0, nil)))
@@ -104,7 +104,7 @@
 		members = slices.DeleteFunc(slices.Clone(sy.loop.View().Members()), func(m fleet.Member) bool { return m.Domain() != d })
 	}
 	read := ctrl.NewMemberListRead(fleet.NewMemberList(d, item.Version(), members))
-	if err != nil {
+	if err != nil && !errors.Is(err, codec.ErrVersion) {
 		read = read.AsDamaged()
 	}
 	if doErr := sy.loop.Do(ctx, read); doErr != nil {
