--- a/io/daemon/registry.go
+++ b/io/daemon/registry.go
@@ -13,7 +13,7 @@
 func newIncarnation() model.Incarnation { return model.Incarnation(rand.Uint64()>>1 + 1) }
 
 // registry gives the links access to the membership: which process is recorded at
-// an address, and reports of processes that have ended.
+// an address, and reports of processes that may have ended.
 type registry struct{ loop *ctrl.Loop }
 
 // RecordedProcess returns the process recorded at an address, zero if there is none.
@@ -22,7 +22,7 @@
 	return m.Incarnation()
 }
 
-// ReportEnded reports that a process has ended. The report is dropped when the queue of
+// ReportEnded reports that a process may have ended. The report is dropped when the queue of
 // the control goroutine is full; the next dial repeats it.
 func (r registry) ReportEnded(address string, process model.Incarnation, e fleet.Evidence) {
 	r.loop.Post(ctrl.NewProcessEnded(address, process, e))
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,6 +1,6 @@
 // Package link sends control messages between daemons, as CBOR over WebSocket.
 // There is one connection for each direction, which is checked by pings. It reports
-// evidence that a process has ended; what is sent to whom is decided in core/gossip
+// evidence that a process may have ended; what is sent to whom is decided in core/gossip
 // and core/quota.
 package link
 
@@ -58,13 +58,14 @@
 	headerAddress = "Address"
 )
 
-// Registry gives links the recorded processes, and takes evidence that one has
+// Registry gives links the recorded processes, and takes evidence that one may have
 // ended.
 type Registry interface {
 	// RecordedProcess returns the incarnation of the process recorded at an address, or
 	// zero if there is none.
 	RecordedProcess(address string) model.Incarnation
-	// ReportEnded takes evidence that the process recorded at an address has ended.
+	// ReportEnded takes evidence that the process recorded at an address may have
+	// ended.
 	ReportEnded(address string, recorded model.Incarnation, e fleet.Evidence)
 }
 
@@ -197,7 +198,7 @@
 // errDial means that a link could not be opened.
 var errDial = errors.New("link not opened")
 
-// dial opens a connection. It reports evidence that the recorded process has
+// dial opens a connection. It reports evidence that the recorded process may have
 // ended: a refused connection, or an answer of another process. A timeout is no
 // evidence, as the process may be paused or partitioned.
 func (l *Links) dial(ctx context.Context, address string) (*websocket.Conn, error) {
--- a/io/watch/cluster_test.go
+++ b/io/watch/cluster_test.go
@@ -157,8 +157,7 @@
 }
 
 // Send encodes a message and delivers it unless the fault says otherwise. A message to
-// an address without a node gets a refused connection, which proves that the process
-// recorded there has ended.
+// an address without a node gets a refused connection.
 func (n *node) Send(address string, m peer.Message) bool {
 	data, err := codec.EncodeMessage(m)
 	if err != nil {
