--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of all cases. The daemon is built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -tags review -o target/stand ./review/stand
+go build -buildvcs=false -tags review -o target/stand ./review/platform
