--- a/review/platform/stray.go
+++ b/review/platform/stray.go
@@ -57,6 +57,10 @@
 	if err != nil {
 		return false, err
 	}
+	// A second endpoint of the service is sound.
+	if _, err := f.addNode("a-2", "north", "claims", 50); err != nil {
+		return false, err
+	}
 	f.configure(7, []route{{"claims", "/claims/", "non_idempotent", "claims", "5000ms", 2}})
 	if err := f.awaitReady(); err != nil {
 		return false, err
