A body that was refused early is sent again whole

Cause: a body that is not buffered is one stream for all attempts. A peer's early refusal was taken as proof that the attempt would not read it, but the transport may start to read after it has returned the response. Two attempts then shared the stream. The transport did not wait for status 100 either, since the request named no version.

Change: each attempt has its own body over the stream, which is withdrawn before the next attempt. A body that has been read is not sent again; one that is withdrawn can't be read. The request to a peer names version 1.1.

--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -135,6 +135,8 @@
 func (f *Front) roundTripToPeer(ctx context.Context, out *http.Request, streams bool, t http.RoundTripper) (*http.Response, error) {
 	if streams {
 		out.Header.Set("Expect", "100-continue")
+		// The transport waits for status 100 only with a request of this version.
+		out.ProtoMajor, out.ProtoMinor = 1, 1
 		resp, _, err := roundTrip(ctx, t, out, nil)
 		return resp, err
 	}
--- a/io/front/copy.go
+++ b/io/front/copy.go
@@ -5,10 +5,7 @@
 	"maps"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"anvilstand/core/model"
 )
 
 // copyBuffers holds buffers for copying between two connections.
@@ -77,34 +74,3 @@
 // abort ends the handler and closes the connection of a response that has
 // begun.
 func abort() { panic(http.ErrAbortHandler) }
-
-// requestBody is the body of every outgoing request, also of one without
-// content. The transport takes it for a body that cannot be sent again, so it
-// never resends a request on its own.
-type requestBody struct {
-	src         io.Reader
-	controller  *http.ResponseController
-	stall       time.Duration
-	readStarted atomic.Bool
-	failure     atomic.Pointer[model.Refusal]
-}
-
-// Read reads from the caller, which has to send something within the stall
-// time.
-func (b *requestBody) Read(p []byte) (int, error) {
-	b.readStarted.Store(true)
-	if b.controller == nil {
-		return b.src.Read(p)
-	}
-	_ = b.controller.SetReadDeadline(time.Now().Add(b.stall))
-	n, err := b.src.Read(p)
-	if err == io.EOF {
-		_ = b.controller.SetReadDeadline(time.Time{})
-	} else if err != nil {
-		b.failure.Store(bodyRefusal(err))
-	}
-	return n, err
-}
-
-// Close does nothing: the server closes the caller's body itself.
-func (b *requestBody) Close() error { return nil }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -159,12 +159,12 @@
 	return retry.Backoff(f.rnd, a.rounds-1, refusal)
 }
 
-// chargeRetry checks that the body can be sent again, that the deadline leaves
-// time, and that the route allows another attempt. If the last attempt cost a
-// target work, it takes one retry from the request's budget and one token from
+// chargeRetry reclaims the body, so that it can be sent again, and checks that the
+// deadline leaves time and that the route allows another attempt. If the last attempt
+// cost a target work, it takes one retry from the request's budget and one token from
 // the throttle of the organisation and service. Its error is a *retry.Error.
 func (f *Front) chargeRetry(j *job, p *payload, a *attempts, refusal *model.Refusal, backoff time.Duration) error {
-	if !p.resendable() {
+	if !p.reclaim() {
 		return retry.NewError(retry.BodyConsumed{})
 	}
 	if err := retry.CheckDeadline(time.Until(j.deadline), backoff); err != nil {
--- a/io/front/payload.go
+++ b/io/front/payload.go
@@ -21,7 +21,8 @@
 type payload struct {
 	request  *http.Request
 	buffered []byte
-	stream   *requestBody
+	stream   *callerBody
+	last     *requestBody // of the last attempt
 }
 
 func newPayload(w http.ResponseWriter, r *http.Request, limit int64, stall time.Duration) (*payload, error) {
@@ -29,7 +30,7 @@
 	if r.ContentLength == 0 {
 		return p, nil
 	}
-	src := &requestBody{src: http.MaxBytesReader(nil, r.Body, limit), controller: http.NewResponseController(w), stall: stall}
+	src := &callerBody{src: http.MaxBytesReader(nil, r.Body, limit), controller: http.NewResponseController(w), stall: stall}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBody {
 		p.stream = src
 		return p, nil
@@ -60,15 +61,20 @@
 	return p.stream.failure.Load().WithRun(run), true
 }
 
-// resendable reports whether the body can be sent again.
-func (p *payload) resendable() bool { return p.stream == nil || !p.stream.readStarted.Load() }
+// reclaim takes the body back from the last attempt, so that it can be sent again. It
+// returns false if that attempt has begun to read a body that can be read only once.
+func (p *payload) reclaim() bool { return p.stream == nil || p.last.withdraw() }
 
-// attachTo sets the body of an outgoing request.
+// attachTo sets the body of an outgoing request. The body of the request before must
+// have been reclaimed.
 func (p *payload) attachTo(r *http.Request) {
 	r.Header.Del("Expect")
 	if p.stream != nil {
-		r.Body, r.ContentLength = p.stream, p.request.ContentLength
-		return
+		p.last = &requestBody{src: p.stream}
+		r.ContentLength = p.request.ContentLength
+	} else {
+		p.last = &requestBody{src: bytes.NewReader(p.buffered)}
+		r.ContentLength = int64(len(p.buffered))
 	}
-	r.Body, r.ContentLength = &requestBody{src: bytes.NewReader(p.buffered)}, int64(len(p.buffered))
+	r.Body = p.last
 }
