A planned stop refuses the requests that wait for a target

Peers of a daemon that stopped got "may have run" for requests that waited in its queue.

Cause: a stop treated a request that waits, here or in the queue of a peer, as one that runs, and closed all connections when its time was over.

The peer's refusal says whether the request ran, so the 503 is true. Nothing is retried from then on, and calls are refused.

Open: a request that a target still runs at the end is cut.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -177,7 +177,8 @@
 //  2. New requests are accepted until the member list shows that it leaves, its
 //     quota leases are released, and DrainDelay is over.
 //  3. The listeners ignore new connections for ignoreTime.
-//  4. The front refuses new requests, and those in progress finish.
+//  4. The front refuses new requests, and those in progress finish. Near the end it
+//     refuses those that still wait for a target.
 //  5. After up to lingerTime the remaining connections are closed.
 //
 // The field cut of the log line tells that requests or connections were still
@@ -292,13 +293,14 @@
 }
 
 // peerHandler serves the other daemons: relayed requests below /relay, control
-// messages at /link, claims of idempotency keys at /claim. It is no router, since a
-// router copies each request, and some clean paths.
+// messages at /link, claims of idempotency keys at /claim, withdrawals of relayed
+// requests at /withdraw. It is no router, since a router copies each request, and some
+// clean paths.
 func (d *Daemon) peerHandler() http.Handler {
 	links := link.Accept(d.self.Incarnation(), d.settings.Secret(), d.log, func(ctx context.Context, p peer.Envelope) error {
 		return d.loop.Do(ctx, ctrl.NewMessageReceived(p))
 	})
-	claims, relays := d.front.ClaimHandler(), d.front.RelayHandler()
+	claims, relays, withdrawals := d.front.ClaimHandler(), d.front.RelayHandler(), d.front.WithdrawHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch path := r.URL.EscapedPath(); {
 		case strings.HasPrefix(path, "/relay/"):
@@ -307,6 +309,8 @@
 			links.ServeHTTP(w, r)
 		case path == "/claim":
 			claims.ServeHTTP(w, r)
+		case path == "/withdraw":
+			withdrawals.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
--- a/io/front/admission.go
+++ b/io/front/admission.go
@@ -18,10 +18,17 @@
 	mu      sync.Mutex
 	core    admit.Controller
 	lastID  uint64
-	waiting map[uint64]chan *model.Refusal
+	waiting map[uint64]waiter
 	timer   *time.Timer
 }
 
+// waiter is a request that waits for admission. result receives nil when its ticket is
+// started, or a refusal.
+type waiter struct {
+	request model.Request
+	result  chan *model.Refusal
+}
+
 // admit waits until the call may run and returns its ticket's id. The wait also
 // ends when ctx ends (Canceled) and at the call's deadline (Late). The error is a
 // *model.Refusal of a request that did not run.
@@ -67,10 +74,10 @@
 		return 0, nil, err
 	}
 	if a.waiting == nil {
-		a.waiting = map[uint64]chan *model.Refusal{}
+		a.waiting = map[uint64]waiter{}
 	}
 	result := make(chan *model.Refusal, 1)
-	a.waiting[a.lastID] = result
+	a.waiting[a.lastID] = waiter{request: call.ID(), result: result}
 	a.apply(&out)
 	return a.lastID, result, nil
 }
@@ -112,6 +119,29 @@
 	a.core.Close()
 }
 
+// withdraw refuses those of the requests that still wait.
+func (a *admission) withdraw(ids []model.Request) {
+	withdrawn := make(map[model.Request]bool, len(ids))
+	for _, id := range ids {
+		withdrawn[id] = true
+	}
+	a.withdrawIf(func(w waiter) bool { return withdrawn[w.request] })
+}
+
+// withdrawAll refuses all requests that still wait.
+func (a *admission) withdrawAll() { a.withdrawIf(func(waiter) bool { return true }) }
+
+func (a *admission) withdrawIf(chosen func(waiter) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, w := range a.waiting {
+		if chosen(w) {
+			a.core.Cancel(id)
+			a.notify(id, model.Refuse(model.Leaving{}, 0))
+		}
+	}
+}
+
 // setCapacity sets the concurrency limit from the number of slots that the
 // target reports (0: not reported), and the warm-up rate in requests a second
 // while the target is cold (0: unlimited).
@@ -161,8 +191,8 @@
 }
 
 func (a *admission) notify(id uint64, r *model.Refusal) {
-	if result, ok := a.waiting[id]; ok {
+	if w, ok := a.waiting[id]; ok {
 		delete(a.waiting, id)
-		result <- r
+		w.result <- r
 	}
 }
--- a/io/front/attempt.go
+++ b/io/front/attempt.go
@@ -86,7 +86,9 @@
 	setPath(out.URL, "/relay"+j.path)
 	out.Header.Set(form.HeaderCall, codec.EncodeCall(call))
 	out.Header.Set("Authorization", f.peerAuthorization)
+	f.relayed.begin(m.Address(), call.ID())
 	resp, err := f.roundTripToPeer(ctx, out, p.stream != nil, f.peerTransportFor(j))
+	f.relayed.end(m.Address(), call.ID())
 	if err != nil {
 		return nil, 0, err
 	}
--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return j, err
 	}
-	if f.shuttingDown.Load() && !f.isDownstream(j.info) {
+	if f.shuttingDown.Load() && (!f.isDownstream(j.info) || f.waitsEnded()) {
 		return j, model.Refuse(model.Leaving{}, 0)
 	}
 	if !r.ProtoAtLeast(1, 1) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -10,7 +10,6 @@
 	"anvilstand/core/model"
 	"anvilstand/core/retry"
 	"anvilstand/core/trace"
-	"anvilstand/io/clock"
 )
 
 // attempts records the attempts of one request at its entry daemon.
@@ -117,7 +116,7 @@
 // reason of the refusal allows is counted and traced when it is denied.
 func (f *Front) prepareRetry(ctx context.Context, j *job, p *payload, a *attempts, err error) error {
 	refusal := refusalOf(err)
-	if !a.hadTarget || a.noTarget {
+	if !a.hadTarget || a.noTarget || f.waitsEnded() {
 		return refusal
 	}
 	if readErr, ok := p.readFailure(refusal.Run()); ok {
@@ -134,13 +133,25 @@
 	}
 	f.meter.CountRetry(j.service, reason)
 	f.traceStep(j.call, trace.NewRetried(reason, backoff))
-	if clock.Sleep(ctx, backoff) != nil {
+	if !f.pause(ctx, backoff) {
 		return refusal
 	}
 	j.view = f.loop.View()
 	return checkKey(j.view.Config(), j.call)
 }
 
+// pause waits for the backoff. It returns false if ctx or the time for waits has ended.
+func (f *Front) pause(ctx context.Context, backoff time.Duration) bool {
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.waitsEnd:
+	case <-timer.C:
+	}
+	return ctx.Err() == nil && !f.waitsEnded()
+}
+
 // backoff returns how long to wait before the next attempt: zero while there is
 // an untried target, and an exponential backoff once all have been tried. A
 // request with an idempotency key has only one target.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -52,7 +52,8 @@
 	idempotency       idempotencyRegistry
 	traces            traces
 	active            activeRequests // handlers in progress, awaited by Shutdown
-	targetDrain       drainState     // according to the target's responses
+	relayed           relayedRequests
+	targetDrain       drainState // according to the target's responses
 	avoided           avoidList
 	rndMu             sync.Mutex
 	rnd               *rand.Rand
@@ -66,7 +67,9 @@
 	freshTargetTransport *http.Transport
 	draining             atomic.Bool // the daemon drains for a planned stop
 	shuttingDown         atomic.Bool // new requests are refused
-	crashWatch           crashWatch  // finds requests that crash the target
+	// waitsEnd is closed when the requests that wait for a target are withdrawn.
+	waitsEnd   chan struct{}
+	crashWatch crashWatch // finds requests that crash the target
 }
 
 // New returns the traffic side of a daemon. It reaches the other daemons over
@@ -98,6 +101,7 @@
 		freshTargetTransport: newTransport(target, freshIdleTimeout),
 		crashWatch:           crashWatch{clock: c, loop: l},
 		entryShedder:         entryShedder{clock: c, log: log},
+		waitsEnd:             make(chan struct{}),
 	}
 	f.downstream = downstreamLevels{clock: c}
 	f.traces.log = log
--- a/io/front/stop.go
+++ b/io/front/stop.go
@@ -55,19 +55,39 @@
 func (f *Front) Draining() bool { return f.draining.Load() }
 
 // Shutdown refuses new requests, except the downstream calls of running ones, and
-// waits until all requests have ended or ctx is done. Its error is that of ctx.
+// waits until all requests have ended or ctx is done. Requests that still wait for a
+// target withdrawTime before the deadline of ctx are refused. It may be called once.
+// Its error is that of ctx.
 func (f *Front) Shutdown(ctx context.Context) error {
 	f.draining.Store(true)
 	f.shuttingDown.Store(true)
 	f.admission.close()
+	ended := f.active.allEnded()
+	waitCtx, cancel := waitContext(ctx)
+	defer cancel()
 	select {
-	case <-f.active.allEnded():
+	case <-ended:
+		return nil
+	case <-waitCtx.Done():
+	}
+	f.withdrawWaiting(ctx, ended)
+	select {
+	case <-ended:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+// waitContext returns a context that ends withdrawTime before ctx.
+func waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, end.Add(-withdrawTime))
+}
+
 // CloseIdleConnections closes the idle connections to peers and to the target. It
 // is called after Shutdown.
 func (f *Front) CloseIdleConnections() {
