A restart no longer forgets that the target has stopped

Cause: that a target drains or has deregistered was known to one process, and a deregistration that was the first news of a target was confirmed without being kept. A heartbeat sent before it that arrives late then looked like the first of a new start.

Change: a stop, with the target's id and start, is in the store before it is confirmed; else the report is answered with 503. A daemon reads the records of its target before that gets work. While the store does not answer, the target must report twice, a second apart. A deregistration counts for the start that it names; it was applied to any.

--- a/core/life/command.go
+++ b/core/life/command.go
@@ -6,18 +6,38 @@
 // ready and of service s. Without this call it is always taken to be ready.
 func (t *Target) RequireStatus(s model.Service) { t.statusRequired, t.service = true, s }
 
+// AwaitStops makes the target get no work until Restore has told which of its starts
+// have stopped, or until its status shows that it still runs: a status that arrives
+// late comes once, a running target reports again.
+func (t *Target) AwaitStops() { t.stopsPending = true }
+
+// Restore takes the stops that an earlier process of the daemon has recorded.
+func (t *Target) Restore(stops []Stop) {
+	t.stopsPending = false
+	for _, s := range stops {
+		t.stop(s)
+	}
+}
+
 // Update takes a status. It ignores one of an earlier start, an older one of the
-// same start, and one that says ready after the same start has begun to drain
-// or deregistered. It reports whether the status is of a new start.
+// same start, and one of a start that has stopped. It reports whether the status is of a
+// new start.
 func (t *Target) Update(now model.Instant, s Status) bool {
-	if t.isStale(s) && !t.confirmsOther(now, s) {
-		return false
+	confirmed := false
+	if t.isStale(s) {
+		if confirmed = t.confirmsOther(now, s); !confirmed {
+			return false
+		}
 	}
-	t.other = otherStart{}
-	isNewStart := !t.known || s.id != t.last.id || s.processStarted != t.last.processStarted
+	t.other = firstStatus{}
+	isNewStart := confirmed || !t.known || s.id != t.last.id || s.processStarted != t.last.processStarted
 	if !isNewStart && isStopping(t.last.state) && !isStopping(s.state) {
 		return false
 	}
+	if isNewStart {
+		t.first = firstStatus{status: s, seenAt: now}
+	}
+	t.repeated = confirmed || (!isNewStart && (t.repeated || isRepetition(t.first, now, s)))
 	t.known, t.last = true, s
 	t.coldUntil = now.Add(s.remainingWarmup)
 	t.assumedCold, t.unreachable = false, false
@@ -26,35 +46,42 @@
 
 // confirmsOther reports whether a stale status shows that another start than the
 // known one runs. Its process may have started at an earlier time by a clock that
-// was set back. A status that arrives late comes once; a running target reports
-// again. Nothing is confirmed while statuses of the known start arrive.
+// was set back, or after a stop that named no start. A status that arrives late comes
+// once; a running target reports again. Nothing is confirmed while statuses of the known
+// start arrive.
 func (t *Target) confirmsOther(now model.Instant, s Status) bool {
-	started, gone := t.deregistered[s.id]
-	if s.processStarted == t.last.processStarted || (gone && s.processStarted == started) {
+	started, stopped := t.stopped[s.id]
+	if stopped && s.processStarted == started {
+		return false
+	}
+	if s.processStarted == t.last.processStarted && started != AnyStart {
 		return false
 	}
 	if t.other.status.id != s.id || t.other.status.processStarted != s.processStarted {
-		t.other = otherStart{status: s, seenAt: now}
+		t.other = firstStatus{status: s, seenAt: now}
 		return false
 	}
-	if s.sequence <= t.other.status.sequence || now.Sub(t.other.seenAt) < otherStartDelay {
+	if !isRepetition(t.other, now, s) {
 		return false
 	}
-	delete(t.deregistered, s.id)
+	delete(t.stopped, s.id)
 	return true
 }
 
-// Deregister marks the target as deregistered, if id is its id. A later status of
-// the same start doesn't undo that.
-func (t *Target) Deregister(id string) {
-	if !t.known || t.last.id != id {
-		return
+// Deregister records that a start of the target has stopped. A later status of that
+// start doesn't undo it.
+func (t *Target) Deregister(s Stop) { t.stop(t.Resolve(s)) }
+
+func (t *Target) stop(s Stop) {
+	if t.known && t.last.id == s.id && t.last.processStarted <= s.processStarted {
+		t.last.state = Deregistered{}
+	}
+	if t.stopped == nil || len(t.stopped) >= maxStopped {
+		t.stopped = map[string]int64{}
 	}
-	t.last.state = Deregistered{}
-	if t.deregistered == nil || len(t.deregistered) >= maxDeregistered {
-		t.deregistered = map[string]int64{}
+	if started, ok := t.stopped[s.id]; !ok || started < s.processStarted {
+		t.stopped[s.id] = s.processStarted
 	}
-	t.deregistered[id] = t.last.processStarted
 }
 
 // AssumeCold makes the target count as cold until its next status.
@@ -75,7 +102,7 @@
 // until a status of another start.
 func (t *Target) OtherTargetAnswered() {
 	if t.known {
-		t.Deregister(t.last.id)
+		t.Deregister(NewStop(t.last.id, AnyStart))
 	}
 }
 
--- a/core/life/life.go
+++ b/core/life/life.go
@@ -90,6 +90,9 @@
 // RemainingWarmup returns the warm-up time that remained when the status was sent.
 func (s Status) RemainingWarmup() time.Duration { return s.remainingWarmup }
 
+// Stop returns the stop that the status reports, and false while the target takes work.
+func (s Status) Stop() (Stop, bool) { return NewStop(s.id, s.processStarted), isStopping(s.state) }
+
 // Target is the state of the target beside a daemon. The zero value is a target
 // that reports no status, which is taken to be ready. It is not safe for
 // concurrent use.
@@ -102,28 +105,30 @@
 	assumedCold    bool
 	unreachable    bool
 	failedAt       model.Instant    // last failed connection
-	deregistered   map[string]int64 // start time of the process, by id
-	other          otherStart
+	stopped        map[string]int64 // start time of the process, by id
+	other          firstStatus      // of another start than the known one
+	first          firstStatus      // of the known start
+	repeated       bool             // the known start has reported again
+	stopsPending   bool             // see AwaitStops
 }
 
-// otherStart is the first status of a start that would be earlier than the known
-// one, and when it arrived.
-type otherStart struct {
+// firstStatus is the first status of a start, and when it arrived.
+type firstStatus struct {
 	status Status
 	seenAt model.Instant
 }
 
 // Limits and waits.
 const (
-	// maxDeregistered bounds the set of targets known to have deregistered. A
-	// full set is emptied.
-	maxDeregistered = 64
+	// maxStopped bounds the set of targets known to have stopped. A full set is
+	// emptied.
+	maxStopped = 64
 	// reconnectDelay is the wait after a failed connection before another is
 	// tried. A new status ends it early.
 	reconnectDelay = 500 * time.Millisecond
-	// otherStartDelay is how long after the first status of a start that would be
-	// earlier than the known one a further one is taken as proof that it runs.
-	otherStartDelay = time.Second
+	// runningDelay is how long after the first status of a start a further one
+	// is taken as proof that it runs.
+	runningDelay = time.Second
 	// NotReadyRetryAfter is the wait that a refusal gives while the target takes
 	// no work. It is short because another target may take the request meanwhile.
 	NotReadyRetryAfter = 200 * time.Millisecond
--- a/core/life/life_test.go
+++ b/core/life/life_test.go
@@ -90,21 +90,21 @@
 		"deregistered": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
-				t.Deregister("i1")
+				t.Deregister(life.NewStop("i1", life.AnyStart))
 			},
 			want: leaving,
 		},
 		"other target deregistered": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
-				t.Deregister("i2")
+				t.Deregister(life.NewStop("i2", life.AnyStart))
 			},
 			want: "works",
 		},
 		"status after deregistering": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
-				t.Deregister("i1")
+				t.Deregister(life.NewStop("i1", life.AnyStart))
 				t.Update(0, status(2, life.Ready{}))
 			},
 			want: leaving,
@@ -156,7 +156,7 @@
 		"replaced with the clock set back after deregistering": {
 			do: func(t *life.Target) {
 				t.Update(0, restarted(5))
-				t.Deregister("i1")
+				t.Deregister(life.NewStop("i1", life.AnyStart))
 				t.Update(second, status(1, life.Ready{}))
 				t.Update(2*second, status(2, life.Ready{}))
 			},
@@ -191,12 +191,79 @@
 		"statuses after deregistering": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
-				t.Deregister("i1")
+				t.Deregister(life.NewStop("i1", life.AnyStart))
 				t.Update(second, status(2, life.Ready{}))
 				t.Update(3*second, status(3, life.Ready{}))
 			},
 			want: leaving,
 		},
+		"deregistration of an earlier start": {
+			do: func(t *life.Target) {
+				t.Update(0, restarted(1))
+				t.Deregister(life.NewStop("i1", 1000))
+			},
+			want: "works",
+		},
+		"deregistered as its first news": {
+			do: func(t *life.Target) {
+				t.Deregister(life.NewStop("i1", 1000))
+				t.Update(0, status(1, life.Ready{}))
+			},
+			want: noTarget,
+		},
+		"stops not restored": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(second/2, status(2, life.Ready{}))
+			},
+			now:  second,
+			want: noTarget,
+		},
+		"stops not restored, reported again": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(second, status(2, life.Ready{}))
+			},
+			now:  second,
+			want: "works",
+		},
+		"status before its stop is restored": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Update(0, status(1, life.Ready{}))
+				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+			},
+			want: leaving,
+		},
+		"status after its stop is restored": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(2*second, status(2, life.Ready{}))
+			},
+			now:  2 * second,
+			want: noTarget,
+		},
+		"started again after its stop is restored": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+				t.Update(0, restarted(1))
+			},
+			want: "works",
+		},
+		"runs on after a stop without a start": {
+			do: func(t *life.Target) {
+				t.Restore([]life.Stop{life.NewStop("i1", life.AnyStart)})
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(second, status(2, life.Ready{}))
+			},
+			now:  second,
+			want: "works",
+		},
 		"other target at its address": {
 			do: func(t *life.Target) {
 				t.Update(0, status(1, life.Ready{}))
--- a/core/life/query.go
+++ b/core/life/query.go
@@ -17,8 +17,9 @@
 
 // Check reports whether the target may get a request now. The error is a
 // *model.Refusal of a request that did not run: Leaving if the target is draining or
-// deregistered; NoTarget if it has no status, is of another service, or could not
-// be connected to within the last reconnectDelay.
+// deregistered; NoTarget if it has no status, is of another service, may have stopped
+// before the daemon started (AwaitStops), or could not be connected to within the last
+// reconnectDelay.
 func (t *Target) Check(now model.Instant) error {
 	if !t.statusRequired {
 		return nil
@@ -26,6 +27,9 @@
 	if !t.known || t.last.service != t.service {
 		return model.Refuse(model.NoTarget{}, NotReadyRetryAfter)
 	}
+	if t.stopsPending && !t.repeated {
+		return model.Refuse(model.NoTarget{}, NotReadyRetryAfter)
+	}
 	if isStopping(t.last.state) {
 		return model.Refuse(model.Leaving{}, NotReadyRetryAfter)
 	}
@@ -35,10 +39,25 @@
 	return nil
 }
 
+// Resolve returns a stop that names no start as that of the known one, if the target has
+// its id. Any other stop is returned unchanged.
+func (t *Target) Resolve(s Stop) Stop {
+	if s.processStarted == AnyStart && t.known && t.last.id == s.id {
+		s.processStarted = t.last.processStarted
+	}
+	return s
+}
+
+// isRepetition reports whether a status shows that the start of a first one still runs:
+// it was sent later and arrived runningDelay later.
+func isRepetition(first firstStatus, now model.Instant, s Status) bool {
+	return s.sequence > first.status.sequence && now.Sub(first.seenAt) >= runningDelay
+}
+
 // isStale reports whether a status is older than the last one, or is of a start
-// that has deregistered.
+// that has stopped.
 func (t *Target) isStale(s Status) bool {
-	if started, ok := t.deregistered[s.id]; ok && s.processStarted <= started {
+	if started, ok := t.stopped[s.id]; ok && s.processStarted <= started {
 		return true
 	}
 	if !t.known {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -47,6 +47,7 @@
 	listeners    []net.Listener
 	rawListeners []net.Listener // the same without the connection limit, for wire.Drain
 	platform     Platform       // nil unless created by NewOnPlatform
+	stops        *watch.StopRecorder
 }
 
 // New creates a daemon and opens its listeners; Run serves them. An address with
@@ -60,6 +61,7 @@
 func NewOnPlatform(settings *prefs.Settings, n wire.Network, platform Platform, log hclog.Logger) (*Daemon, error) {
 	d, err := open(&Daemon{settings: settings, store: platform, log: log, platform: platform}, n, platform)
 	if err == nil {
+		d.stops = watch.NewStopRecorder(platform, settings.Domain(), settings.Name())
 		d.front.RequireTargetStatus()
 	}
 	return d, err
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -54,12 +54,14 @@
 	StoreResult(err error)
 }
 
-// StatusSink receives the status that the target reports.
+// StatusSink receives the status that the target reports. A status is in force when a
+// method returns. The error means that the target's stop could not be recorded, so that
+// a restart of the daemon would forget it: the report must not be confirmed.
 type StatusSink interface {
 	// UpdateTarget takes a status.
-	UpdateTarget(s life.Status)
-	// DeregisterTarget takes the report of the target with this id that it is gone.
-	DeregisterTarget(id string)
+	UpdateTarget(ctx context.Context, s life.Status) error
+	// DeregisterTarget takes the report of the target that it is gone.
+	DeregisterTarget(ctx context.Context, s life.Stop) error
 }
 
 // ReadyAddress returns the address at which the platform checks readiness, as
@@ -79,9 +81,25 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return watch.SyncMembers(ctx, d.store, d.loop) })
 	g.Go(func() error { return d.platform.Follow(ctx, &configSink{daemon: d}) })
+	g.Go(func() error {
+		d.restoreTarget(ctx)
+		return nil
+	})
 	return g.Wait()
 }
 
+// restoreTarget takes the recorded stops of the target as soon as the store answers.
+func (d *Daemon) restoreTarget(ctx context.Context) {
+	stops, err := d.stops.Load(ctx)
+	if err != nil {
+		return // the daemon ends
+	}
+	d.front.RestoreTarget(stops)
+	for _, s := range stops {
+		d.log.Info("target stopped earlier", "id", s.ID(), "started", s.ProcessStarted())
+	}
+}
+
 // configSink passes the platform's configuration to the control state.
 type configSink struct {
 	daemon    *Daemon
@@ -161,18 +179,37 @@
 // according to it.
 type statusSink struct{ *Daemon }
 
+// recordTimeout limits the record of a stop. The target waits a second for the answer to
+// its report.
+const recordTimeout = 800 * time.Millisecond
+
 // UpdateTarget updates the target's status. It logs the first status after each start of
 // the target.
-func (s statusSink) UpdateTarget(status life.Status) {
+func (s statusSink) UpdateTarget(ctx context.Context, status life.Status) error {
 	if s.front.UpdateTarget(status) {
 		s.log.Info("target", "id", status.ID(), "state", life.StateName(status.State()), "sequence", status.Sequence(), "cold", status.RemainingWarmup())
 	}
+	if stop, ok := status.Stop(); ok {
+		return s.record(ctx, stop)
+	}
+	return nil
 }
 
 // DeregisterTarget deregisters the target.
-func (s statusSink) DeregisterTarget(id string) {
-	s.front.DeregisterTarget(id)
-	s.log.Info("target", "id", id, "state", life.StateName(life.Deregistered{}))
+func (s statusSink) DeregisterTarget(ctx context.Context, stop life.Stop) error {
+	stop = s.front.DeregisterTarget(stop)
+	s.log.Info("target", "id", stop.ID(), "state", life.StateName(life.Deregistered{}), "started", stop.ProcessStarted())
+	return s.record(ctx, stop)
+}
+
+func (s statusSink) record(ctx context.Context, stop life.Stop) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := s.stops.Add(ctx, stop)
+	if err != nil {
+		s.log.Warn("target stop not recorded", "id", stop.ID(), "error", err)
+	}
+	return err
 }
 
 // serveReady answers the platform's readiness check: 200 from the first
--- a/io/front/target.go
+++ b/io/front/target.go
@@ -25,11 +25,19 @@
 }
 
 // RequireTargetStatus makes the target get work only while the status that it
-// reports itself allows that.
+// reports itself allows that. It waits for RestoreTarget.
 func (f *Front) RequireTargetStatus() {
 	f.target.mu.Lock()
 	defer f.target.mu.Unlock()
 	f.target.core.RequireStatus(f.prefs.Service())
+	f.target.core.AwaitStops()
+}
+
+// RestoreTarget takes the stops of the target that earlier processes recorded.
+func (f *Front) RestoreTarget(stops []life.Stop) {
+	f.target.mu.Lock()
+	defer f.target.mu.Unlock()
+	f.target.core.Restore(stops)
 }
 
 // UpdateTarget records a status that the target reported. It returns true for the
@@ -43,11 +51,14 @@
 	return restarted
 }
 
-// DeregisterTarget records that the target with this id has deregistered.
-func (f *Front) DeregisterTarget(id string) {
+// DeregisterTarget records that a start of the target has deregistered. It returns the
+// stop with that start, if it is known.
+func (f *Front) DeregisterTarget(s life.Stop) life.Stop {
 	f.target.mu.Lock()
 	defer f.target.mu.Unlock()
-	f.target.core.Deregister(id)
+	s = f.target.core.Resolve(s)
+	f.target.core.Deregister(s)
+	return s
 }
 
 // check refuses work while the target's status allows none, and while the target is
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -3,8 +3,8 @@
 // stored. A daemon that its control state makes a watcher follows the
 // configuration (conf.REVISION, snapshots at base) and the member lists
 // (fleet.DOMAIN, domains), and writes the member list of its own failure domain.
-// Every daemon makes the store calls for its quota leases (share.ORG). The
-// package decides when a call is made and repeated; what is written is decided in
+// Every daemon makes the store calls for its quota leases (share.ORG), and records
+// the stops of its target (stops.DOMAIN). The package decides when a call is made and repeated; what is written is decided in
 // core/gossip, core/quota and io/oper.
 package watch
 
