Heads of the store's and other daemons' responses are bounded

Report of other operators: a faulty endpoint sent bytes without end in a head or a body, and the machine that called it ran out of memory.

Cause here: the clients of the store and of the links took net/http's default and kept up to 10 MB of a head. On the path of requests nothing is kept.

--- a/cmds/change/serve.go
+++ b/cmds/change/serve.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -113,5 +112,5 @@
 	if p.UsesPlatform() {
 		return daemon.NewOnPlatform(p, wire.TCP{}, platform.New(p.Store(), wire.TCP{}), log)
 	}
-	return daemon.New(p, wire.TCP{}, store.NewClient(p.Store(), &http.Client{}), log)
+	return daemon.New(p, wire.TCP{}, store.NewClient(p.Store(), wire.NewClient(wire.TCP{})), log)
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -123,8 +123,7 @@
 	maxIdlePerHost = 64
 	// expectContinueTimeout is how long a peer may take to ask for a streamed
 	// body, which is sent anyway after that.
-	expectContinueTimeout  = 2 * time.Second
-	maxResponseHeaderBytes = 64 << 10
+	expectContinueTimeout = 2 * time.Second
 )
 
 func newTransport(n wire.Network, idle time.Duration) *http.Transport {
@@ -134,6 +133,6 @@
 		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  expectContinueTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: wire.MaxResponseHeaderBytes,
 	}
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -92,7 +92,7 @@
 func New(ctx context.Context, g *errgroup.Group, n wire.Network, self fleet.Member, secret string, log hclog.Logger, r Registry) *Links {
 	return &Links{
 		self: self, secret: secret, log: log, registry: r, group: g, ctx: ctx,
-		client: &http.Client{Transport: &http.Transport{DialContext: n.DialContext}},
+		client: wire.NewClient(n),
 		queues: map[string]chan peer.Message{},
 	}
 }
