A planned stop answers what it has no time to end

Cause: a withdrawal opens a connection, and a peer in a planned stop of its own ignores new ones (log: "requests not withdrawn ... context deadline exceeded"). What was left when the time was over had its connection closed.

Change: when the time is over the contexts of the requests end, and up to 200 ms are given for their answers: 502, run unknown, or "not" if nothing was sent. Connections are closed as their responses end.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -153,7 +153,9 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	servers := d.servers(serveCtx)
+	requestCtx, endRequests := context.WithCancelCause(serveCtx)
+	defer endRequests(nil)
+	servers := d.servers(requestCtx)
 	for i, s := range servers {
 		g.Go(func() error { return serve(s, d.listeners[i]) })
 	}
@@ -166,7 +168,7 @@
 		case <-ctx.Done():
 		case <-serveCtx.Done():
 		}
-		d.shutdown(servers)
+		d.shutdown(servers, endRequests)
 		stop()
 		return nil
 	})
@@ -174,18 +176,20 @@
 	return g.Wait()
 }
 
-// shutdown makes a planned stop, all steps within graceTenths of StopTimeout:
+// shutdown makes a planned stop, all steps but the last within graceTenths of StopTimeout:
 //  1. Callers and other daemons learn that this daemon leaves.
 //  2. New requests are accepted until the member list shows that it leaves, its
 //     quota leases are released, and DrainDelay is over.
 //  3. The listeners ignore new connections for ignoreTime.
 //  4. The front refuses new requests, and those in progress finish. Near the end it
 //     refuses those that still wait for a target.
-//  5. After up to lingerTime the remaining connections are closed.
+//  5. Requests that have not ended by then get the answer that they may have run, within
+//     another answerTime.
+//  6. After up to lingerTime the remaining connections are closed.
 //
 // The field cut of the log line tells that requests or connections were still
 // open when the time ran out.
-func (d *Daemon) shutdown(servers []*http.Server) {
+func (d *Daemon) shutdown(servers []*http.Server, endRequests context.CancelCauseFunc) {
 	d.log.Info("leaving")
 	d.front.StartDrain()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout()*graceTenths/10)
@@ -198,10 +202,8 @@
 		_ = wire.IgnoreNewConnections(ln)
 	}
 	_ = clock.Sleep(ctx, ignoreTime(d.settings.StopTimeout(), d.settings.DrainDelay()))
-	closeErr := d.front.Shutdown(ctx)
-	for _, s := range servers {
-		closeErr = errors.Join(closeErr, s.Shutdown(ctx))
-	}
+	closeErr := d.front.Shutdown(ctx, endRequests, answerTime(d.settings.StopTimeout()))
+	closeErr = errors.Join(closeErr, d.closeServers(ctx, servers))
 	// Connections that were accepted while their listener closed are still served.
 	_ = clock.Sleep(ctx, min(lingerTime, d.settings.DrainDelay()))
 	for _, s := range servers {
@@ -211,6 +213,23 @@
 	d.log.Info("left", "cut", closeErr != nil)
 }
 
+// closeServers closes the connections as their responses end. It returns an error if some
+// have not ended answerTime after the deadline of ctx.
+func (d *Daemon) closeServers(ctx context.Context, servers []*http.Server) error {
+	end, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end.Add(answerTime(d.settings.StopTimeout())))
+	defer cancel()
+	var err error
+	for _, s := range servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	return err
+}
+
+// answerTime returns how much longer than graceTenths a planned stop takes to answer
+// the requests that it ends.
+func answerTime(stopTimeout time.Duration) time.Duration { return min(maxAnswerTime, stopTimeout/20) }
+
 // ignoreTime returns how long a planned stop goes on accepting requests on open
 // connections after its listeners ignore new ones: up to lingerTime, but no longer than
 // until half of its time is over. A request that is accepted later may have too little
@@ -268,6 +287,8 @@
 	// graceTenths is how much of StopTimeout (setting grace) a planned stop may
 	// take, in tenths. The rest is left for the process to exit.
 	graceTenths = 9
+	// maxAnswerTime is the longest answerTime.
+	maxAnswerTime = 200 * time.Millisecond
 	// leaveTimeout limits the wait for the member list and for the release of
 	// the quota leases together.
 	leaveTimeout = 2 * time.Second
--- a/io/front/deadline.go
+++ b/io/front/deadline.go
@@ -14,6 +14,8 @@
 var (
 	errLate   = errors.New("deadline passed")
 	errSilent = errors.New("peer sent neither a response nor an interim response")
+	// errStopped ends the requests that a planned stop has no time left for.
+	errStopped = errors.New("daemon stops")
 )
 
 // requestTimer cancels a request's context when its time is over. A deadline set
@@ -49,8 +51,8 @@
 }
 
 // failure returns the refusal for a failed attempt. It may have run if a byte of
-// the request was sent. The reason is Late or Canceled if the context was
-// cancelled for that, else Broken, or NoTarget if nothing was sent.
+// the request was sent. The reason is Late or Canceled if the context was cancelled for
+// that; else Broken, or if nothing was sent NoTarget or, in a stop, Leaving.
 func failure(ctx context.Context, sent bool) *model.Refusal {
 	reason := failureReason(ctx, sent)
 	if sent {
@@ -64,7 +66,9 @@
 	switch {
 	case errors.Is(cause, errLate):
 		return model.Late{}
-	case cause != nil && !errors.Is(cause, errSilent):
+	case errors.Is(cause, errStopped) && !sent:
+		return model.Leaving{}
+	case cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, errStopped):
 		return model.Canceled{}
 	case sent:
 		return model.Broken{}
--- a/io/front/stop.go
+++ b/io/front/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // activeRequests counts the handlers of callers and peers in progress, so that
@@ -56,9 +57,10 @@
 
 // Shutdown refuses new requests, except the downstream calls of running ones, and
 // waits until all requests have ended or ctx is done. Requests that still wait for a
-// target withdrawTime before the deadline of ctx are refused. It may be called once.
-// Its error is that of ctx.
-func (f *Front) Shutdown(ctx context.Context) error {
+// target withdrawTime before the deadline of ctx are refused. When ctx is done, the
+// contexts of the others are ended with endRequests, and up to answerTime is given for
+// their answers. It may be called once. Its error is that of ctx.
+func (f *Front) Shutdown(ctx context.Context, endRequests context.CancelCauseFunc, answerTime time.Duration) error {
 	f.draining.Store(true)
 	f.shuttingDown.Store(true)
 	f.admission.close()
@@ -75,8 +77,15 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	endRequests(errStopped)
+	timer := time.NewTimer(answerTime)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	}
+	return ctx.Err()
 }
 
 // waitContext returns a context that ends withdrawTime before ctx.
