A lost kept connection is no proof that its target can't be reached

Cause of the 503: a connection that had just been closed was still in the pool. Nothing could be written to it, which was taken for "no connection can be opened": the target got no work for half a second and counted as cold. Between daemons the peer was set aside in the same way.

Change: an attempt that finds its kept connection lost ends as broken, run "not". It is sent again, and counts neither against the target nor the peer.

--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -35,9 +35,11 @@
 }
 
 // noteFailure records that a request to the target got no response. If its
-// connection broke, the target may have crashed.
+// connection broke after it was sent, the target may have crashed.
 func (c *crashWatch) noteFailure(id uint64, err error) {
-	if _, broken := refusalOf(err).Reason().(model.Broken); !broken {
+	refusal := refusalOf(err)
+	_, broken := refusal.Reason().(model.Broken)
+	if _, sent := refusal.Run().(model.MayHaveRun); !broken || !sent {
 		return
 	}
 	c.mu.Lock()
--- a/io/front/level.go
+++ b/io/front/level.go
@@ -76,18 +76,28 @@
 	if _, mayHaveRun := r.Run().(model.MayHaveRun); mayHaveRun {
 		return route.Broken{}
 	}
+	if isLostConnection(r) && !fromTargetDaemon {
+		return route.Canceled{}
+	}
 	return route.Answered{}
 }
 
 // failureOutcome returns the outcome of a request to the target that got no
-// response.
-func failureOutcome(ctx context.Context) admit.Outcome {
-	if ctx.Err() != nil {
+// response, because of err.
+func failureOutcome(ctx context.Context, err error) admit.Outcome {
+	if ctx.Err() != nil || isLostConnection(refusalOf(err)) {
 		return admit.Abandoned{}
 	}
 	return admit.Failed{}
 }
 
+// isLostConnection reports whether nothing was sent because a kept connection was lost.
+func isLostConnection(r *model.Refusal) bool {
+	_, broken := r.Reason().(model.Broken)
+	_, notRun := r.Run().(model.NotRun)
+	return broken && notRun
+}
+
 // noteLevel records the level that a downstream call of a running request met
 // at a service.
 func (r *runningRequests) noteLevel(token string, s model.Service, level model.Position) {
--- a/io/front/relay.go
+++ b/io/front/relay.go
@@ -170,7 +170,7 @@
 	start, sentAt := time.Now(), f.clock.Now()
 	resp, conn, err := roundTrip(ctx, f.targetTransportFor(out.Method), out, nil)
 	if err != nil {
-		e.outcome = failureOutcome(ctx)
+		e.outcome = failureOutcome(ctx, err)
 		f.target.noteFailure(ctx, err)
 		f.crashWatch.noteFailure(e.ticket, err)
 		return nil, err
--- a/io/front/roundtrip.go
+++ b/io/front/roundtrip.go
@@ -70,14 +70,17 @@
 }
 
 // roundTrip sends one request under ctx, in place of the request's own context, and
-// waits for the response header. The error is a *model.Refusal: NotRun if no byte of the request was written, else MayHaveRun.
+// waits for the response header. The error is a *model.Refusal: NotRun if no byte of the
+// request was written, else MayHaveRun. If nothing could be written to a connection that
+// was kept, the reason is Broken: that says nothing about whether a new one can be opened.
 // onInterim, if not nil, is called on each interim (1xx) response. A switch of
 // protocols is not supported and counts as a failure.
 func roundTrip(ctx context.Context, t http.RoundTripper, r *http.Request, onInterim func()) (*http.Response, *countingConn, error) {
 	var conn *countingConn
 	var writtenBefore int64
+	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*countingConn)
+		conn, reused = info.Conn.(*countingConn), info.Reused
 		writtenBefore = conn.written.Load()
 	}}
 	if onInterim != nil {
@@ -88,7 +91,11 @@
 	}
 	resp, err := t.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, conn, failure(ctx, conn != nil && conn.written.Load() != writtenBefore)
+		sent := conn != nil && conn.written.Load() != writtenBefore
+		if !sent && reused && ctx.Err() == nil {
+			return nil, conn, model.Refuse(model.Broken{}, 0)
+		}
+		return nil, conn, failure(ctx, sent)
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
