Refusals on a connection are recorded under a lock

Cause: a response without a body gives its connection back to the pool before its refusal is recorded, so that two requests may write the map of one connection at once, which ends the process. Seen by the review with the race detector.

Change: a lock.

Open: such a connection may still be closed under the next request, which then gets 502.

--- a/io/front/roundtrip.go
+++ b/io/front/roundtrip.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+
+	mu      sync.Mutex
 	refused map[model.Request]bool // requests that the target refused on it
 }
 
@@ -27,8 +30,12 @@
 
 // noteRefusal records that the target refused a request on this connection, by a
 // response that has the request's id or, if unnamed, none. It returns false if the
-// response may be an earlier refusal that a faulty target has written once more.
+// response may be an earlier refusal that a faulty target has written once more. The
+// next request may have the connection already: the transport takes it back before it
+// returns a response without a body.
 func (c *countingConn) noteRefusal(id model.Request, unnamed bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.refused[id] || (unnamed && len(c.refused) > 0) {
 		return false
 	}
