--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -4,8 +4,9 @@
 // configuration (conf.REVISION, snapshots at base) and the member lists
 // (fleet.DOMAIN, domains), and writes the member list of its own failure domain.
 // Every daemon makes the store calls for its quota leases (share.ORG), and records
-// the stops of its target (stops.DOMAIN). The package decides when a call is made and repeated; what is written is decided in
-// core/gossip, core/quota and io/oper.
+// the stops of its target (stops.DOMAIN). The package decides when a call is made and
+// repeated; what is written is decided in core/gossip, core/quota, core/life and
+// io/oper.
 package watch
 
 import (
