--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -95,6 +95,7 @@
 		return // the daemon ends
 	}
 	d.front.RestoreTarget(stops)
+	d.log.Info("target stops read", "stops", len(stops))
 	for _, s := range stops {
 		d.log.Info("target stopped earlier", "id", s.ID(), "started", s.ProcessStarted())
 	}
