--- a/io/daemon/retry_test.go
+++ b/io/daemon/retry_test.go
@@ -94,12 +94,7 @@
 func TestRetryOfUnreachableTarget(t *testing.T) {
 	f := newFleet(t)
 	entry := f.add("entry-north-1", notFound(), "")
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = closed.Close()
-	f.addOnNetwork("stock-north-1", "http://"+closed.Addr().String(), "", newFaultNetwork())
+	f.addOnNetwork("stock-north-1", unreachableTarget(t), "", newFaultNetwork())
 	var ran atomic.Int32
 	f.add("stock-north-2", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }), "")
 	f.configure(entry)
--- a/io/daemon/withdraw_test.go
+++ b/io/daemon/withdraw_test.go
@@ -51,7 +51,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var reached sync.Map
+			var reached, notRun sync.Map
 			release := make(chan struct{})
 			f := newFleet(t)
 			var closed atomic.Bool
@@ -60,7 +60,6 @@
 				reached.Store(r.URL.Path, true)
 				<-release
 			}), settings)
-			defer close(release)
 			f.configure(f.daemons["entry-north-1"])
 			var g errgroup.Group
 			for i := range requests {
@@ -76,6 +75,9 @@
 					}
 					refused := resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(text, `"run":"not"`)
 					unknown := resp.StatusCode == http.StatusBadGateway && strings.Contains(text, `"run":"unknown"`)
+					if refused {
+						notRun.Store(path, true)
+					}
 					if !refused && (!unknown || !tc.closed) {
 						t.Error("a request that did not reach the target:", resp.StatusCode, text)
 					}
@@ -87,6 +89,14 @@
 			f.daemons[tc.stop].stop()
 			<-f.daemons[tc.stop].done
 			_ = g.Wait()
+			close(release)
+			time.Sleep(200 * time.Millisecond) // whatever still waits would run now
+			notRun.Range(func(path, _ any) bool {
+				if _, ran := reached.Load(path); ran {
+					t.Errorf("%v was refused as not run and ran", path)
+				}
+				return true
+			})
 		})
 	}
 }
