--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -22,6 +22,7 @@
 	method   string
 	host     string
 	path     string
+	key      string        // API key, empty for none
 	deadline time.Duration // that the client tells
 	pause    time.Duration // after the head of the answer, before the body is read
 	status   int
@@ -53,8 +54,12 @@
 	_ = conn.SetDeadline(time.Now().Add(e.deadline))
 	head := []string{
 		e.method + " " + e.path + " HTTP/1.1", "Host: " + e.host, "X-Attempt-Id: " + e.id,
-		"X-Deadline-Ms: " + strconv.FormatInt(e.deadline.Milliseconds(), 10), "Content-Length: 0", "", "",
+		"X-Deadline-Ms: " + strconv.FormatInt(e.deadline.Milliseconds(), 10), "Content-Length: 0",
 	}
+	if e.key != "" {
+		head = append(head, "X-Credential: "+e.key)
+	}
+	head = append(head, "", "")
 	if _, e.err = io.WriteString(conn, strings.Join(head, "\r\n")); e.err == nil {
 		e.err = e.read(ctx, conn)
 	}
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -39,6 +39,7 @@
 		"latecall":   playLateCall,
 		"crowd":      playCrowd,
 		"drill":      playDrill,
+		"burst":      playBurst,
 	}
 	if len(args) <= fixed || plays[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER RECORD STOREIP MACHINE...")
--- a/review/second/platform/rig.go
+++ b/review/second/platform/rig.go
@@ -82,6 +82,16 @@
 // configure writes the configuration with routes, each as HOST/PREFIX/ KIND SERVICE
 // TIMEOUT. Routes take callers without a key.
 func (r *rig) configure(routes ...string) error {
+	return r.putConfig("00000007", true, []any{tenant("pulo780", "6wsjnbanfqasnmgkcuyj", 160, 160)}, routes)
+}
+
+// tenant returns an organisation of the configuration.
+func tenant(name, key string, rate, burst float64) map[string]any {
+	return map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1, "ratePerS": rate, "burst": burst}
+}
+
+// putConfig writes a version of the configuration. With open routes, callers need no key.
+func (r *rig) putConfig(version string, open bool, tenants []any, routes []string) error {
 	type object = map[string]any
 	var list, services []any
 	for i, text := range routes {
@@ -92,19 +102,23 @@
 		host, prefix, _ := strings.Cut(f[0], "/")
 		list = append(list, object{
 			"name": "r-" + strconv.Itoa(i), "host": host, "pathPrefix": "/" + prefix, "kind": f[1], "service": f[2],
-			"timeout": f[3], "targetLatency": "1500ms", "priority": 1, "maxAttempts": 2, "noAuth": true,
+			"timeout": f[3], "targetLatency": "1500ms", "priority": 1, "maxAttempts": 2, "noAuth": open,
 		})
 	}
+	seen := map[string]bool{}
 	for _, m := range r.machines {
+		if seen[m.service] {
+			continue
+		}
+		seen[m.service] = true
 		services = append(services, object{
 			"name": m.service, "healthPath": "/health", "maxConnections": 800, "protocol": "h1", "tls": false,
 			"warmup": "3s", "warmupPerS": 26.0,
 		})
 	}
 	data, err := json.Marshal(object{
-		"version": "00000007", "routes": list, "services": services,
-		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"tenants": []any{object{"name": "pulo780", "apiKeys": []string{"6wsjnbanfqasnmgkcuyj"}, "priority": 1, "ratePerS": 160, "burst": 160}},
+		"version": version, "routes": list, "services": services, "tenants": tenants,
+		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	})
 	if err != nil {
 		return err
--- a/review/second/platform/store.go
+++ b/review/second/platform/store.go
@@ -43,7 +43,7 @@
 const maxWait = 30 * time.Second
 
 func newStore() *store {
-	return &store{revision: 1, era: 1, items: map[string]item{}, changed: make(chan struct{})}
+	return &store{revision: 1, items: map[string]item{}, changed: make(chan struct{})}
 }
 
 // copy returns a copy of the items.
