--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the second review. The daemons are built by the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -o target/review-2 ./review/second/platform
+go build -buildvcs=false -tags review -o target/review-2 ./review/second/platform
--- a/review/second/platform/burst.go
+++ b/review/second/platform/burst.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Stand holds the stand-ins of the second review: the platform's store, the targets, and
 // the clients, which play one case against daemons that a script has started. It exits
 // with 0 if the rule held, 1 if it was broken, 2 if the case could not be played.
