--- a/io/front/entry.go
+++ b/io/front/entry.go
@@ -123,7 +123,8 @@
 	if err != nil {
 		return j, err
 	}
-	if f.shuttingDown.Load() && (!f.isDownstream(j.info) || f.waitsEnded()) {
+	shuttingDown := f.shuttingDown()
+	if shuttingDown && (!f.isDownstream(j.info) || f.waitsEnded()) {
 		return j, model.Refuse(model.Leaving{}, 0)
 	}
 	if !r.ProtoAtLeast(1, 1) {
@@ -138,12 +139,15 @@
 		return j, err
 	}
 	j.pattern = route.Pattern(j.route.Method() + " " + j.route.Prefix())
-	err = f.acceptCall(j, r, parentToken)
-	if err == nil {
-		j.setIdempotencyID(r)
-		f.traceStep(j.call, trace.NewAccepted(j.call.Org(), j.service, j.call.Rank()))
+	if err := f.acceptCall(j, r, parentToken); err != nil {
+		return j, err
+	}
+	j.setIdempotencyID(r)
+	f.traceStep(j.call, trace.NewAccepted(j.call.Org(), j.service, j.call.Rank()))
+	if shuttingDown {
+		return j, f.checkStop(j)
 	}
-	return j, err
+	return j, nil
 }
 
 // isDownstream reports whether a request names a request that the target runs as the
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -78,7 +78,7 @@
 // does no harm, within the retry budget, the retry throttle and the deadline.
 // It reports whether a response began.
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, j *job) (bool, error) {
-	p, err := newPayload(w, r, f.maxBody(), f.prefs.StallTimeout(), j.deadline, f.bodies)
+	p, err := f.readPayload(w, r, j)
 	if err != nil {
 		return false, err
 	}
@@ -102,6 +102,21 @@
 	}
 }
 
+// readPayload reads the body of a request if it is to be buffered. A body that arrives
+// while a planned stop begins to refuse new requests may come too late to be sent on.
+func (f *Front) readPayload(w http.ResponseWriter, r *http.Request, j *job) (*payload, error) {
+	shuttingDown := f.shuttingDown()
+	p, err := newPayload(w, r, f.maxBody(), f.prefs.StallTimeout(), j.deadline, f.bodies)
+	if err != nil || shuttingDown {
+		return p, err
+	}
+	if err := f.checkStop(j); err != nil {
+		p.release()
+		return nil, err
+	}
+	return p, nil
+}
+
 // relayResponse passes a response on to the caller.
 func (f *Front) relayResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, j *job, timer *requestTimer) error {
 	f.traceStep(j.call, trace.NewAnswered(resp.StatusCode))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -66,7 +66,9 @@
 	targetTransport      *http.Transport
 	freshTargetTransport *http.Transport
 	draining             atomic.Bool // the daemon drains for a planned stop
-	shuttingDown         atomic.Bool // new requests are refused
+	// stopEnd is when the requests in progress are ended, zero for no limit. It is nil
+	// until Shutdown.
+	stopEnd atomic.Pointer[time.Time]
 	// waitsEnd is closed when the requests that wait for a target are withdrawn.
 	waitsEnd   chan struct{}
 	crashWatch crashWatch    // finds requests that crash the target
--- a/io/front/stop.go
+++ b/io/front/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"anvilstand/core/model"
 )
 
 // activeRequests counts the handlers of callers and peers in progress, so that
@@ -55,14 +57,16 @@
 // Draining reports whether the drain of a planned stop has started.
 func (f *Front) Draining() bool { return f.draining.Load() }
 
-// Shutdown refuses new requests, except the downstream calls of running ones, and
-// waits until all requests have ended or ctx is done. Requests that still wait for a
+// Shutdown refuses new requests, except the downstream calls of running ones that must
+// end before the stop does (see checkStop), and waits until all requests have ended or ctx
+// is done. Requests that still wait for a
 // target withdrawTime before the deadline of ctx are refused. When ctx is done, the
 // contexts of the others are ended with endRequests, and up to answerTime is given for
 // their answers. It may be called once. Its error is that of ctx.
 func (f *Front) Shutdown(ctx context.Context, endRequests context.CancelCauseFunc, answerTime time.Duration) error {
 	f.draining.Store(true)
-	f.shuttingDown.Store(true)
+	end, _ := ctx.Deadline()
+	f.stopEnd.Store(&end)
 	f.admission.close()
 	ended := f.active.allEnded()
 	waitCtx, cancel := waitContext(ctx)
@@ -88,6 +92,19 @@
 	return ctx.Err()
 }
 
+// shuttingDown reports whether new requests are refused, since Shutdown was called.
+func (f *Front) shuttingDown() bool { return f.stopEnd.Load() != nil }
+
+// checkStop refuses a request that may still run when the planned stop ends: its deadline
+// is later, or does not cover its response. It would be broken off at its target then.
+func (f *Front) checkStop(j *job) error {
+	end := f.stopEnd.Load()
+	if end == nil || end.IsZero() || (j.coversResponse && !j.deadline.After(*end)) {
+		return nil
+	}
+	return model.Refuse(model.Leaving{}, 0)
+}
+
 // waitContext returns a context that ends withdrawTime before ctx.
 func waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	end, ok := ctx.Deadline()
