--- a/core/life/command.go
+++ b/core/life/command.go
@@ -6,15 +6,16 @@
 // ready and of service s. Without this call it is always taken to be ready.
 func (t *Target) RequireStatus(s model.Service) { t.statusRequired, t.service = true, s }
 
-// AwaitStops makes the target get no work until Restore has told which of its starts
+// AwaitStops makes the target get no work until Restore has told all of its starts that
 // have stopped, or until its status shows that it still runs: a status that arrives
 // late comes once, a running target reports again.
 func (t *Target) AwaitStops() { t.stopsPending = true }
 
-// Restore takes the stops that an earlier process of the daemon has recorded.
-func (t *Target) Restore(stops []Stop) {
-	t.stopsPending = false
-	for _, s := range stops {
+// Restore takes the stops that earlier processes of the daemon have recorded. If some may
+// be missing, the target goes on as after AwaitStops.
+func (t *Target) Restore(h StopHistory) {
+	t.stopsPending = h.partial
+	for _, s := range h.stops {
 		t.stop(s)
 	}
 }
@@ -38,6 +39,9 @@
 		t.first = firstStatus{status: s, seenAt: now}
 	}
 	t.repeated = confirmed || (!isNewStart && (t.repeated || isRepetition(t.first, now, s)))
+	if t.repeated && s.processStarted > 0 {
+		t.stopsPending = false // a status of an earlier start is stale from now on
+	}
 	t.known, t.last = true, s
 	t.coldUntil = now.Add(s.remainingWarmup)
 	t.assumedCold, t.unreachable = false, false
--- a/core/life/life_test.go
+++ b/core/life/life_test.go
@@ -229,18 +229,48 @@
 			now:  second,
 			want: "works",
 		},
+		"stops may be missing": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Restore(life.StopHistory{}.AsPartial())
+				t.Update(0, status(1, life.Ready{}))
+			},
+			now:  second,
+			want: noTarget,
+		},
+		"stops may be missing, reported again": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Restore(life.StopHistory{}.AsPartial())
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(second, status(2, life.Ready{}))
+			},
+			now:  second,
+			want: "works",
+		},
+		"stops may be missing, started again after it had reported again": {
+			do: func(t *life.Target) {
+				t.AwaitStops()
+				t.Restore(life.StopHistory{}.AsPartial())
+				t.Update(0, status(1, life.Ready{}))
+				t.Update(second, status(2, life.Ready{}))
+				t.Update(second, restarted(1))
+			},
+			now:  second,
+			want: "works",
+		},
 		"status before its stop is restored": {
 			do: func(t *life.Target) {
 				t.AwaitStops()
 				t.Update(0, status(1, life.Ready{}))
-				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+				t.Restore(life.NewStopHistory([]life.Stop{life.NewStop("i1", 1000)}))
 			},
 			want: leaving,
 		},
 		"status after its stop is restored": {
 			do: func(t *life.Target) {
 				t.AwaitStops()
-				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+				t.Restore(life.NewStopHistory([]life.Stop{life.NewStop("i1", 1000)}))
 				t.Update(0, status(1, life.Ready{}))
 				t.Update(2*second, status(2, life.Ready{}))
 			},
@@ -250,14 +280,14 @@
 		"started again after its stop is restored": {
 			do: func(t *life.Target) {
 				t.AwaitStops()
-				t.Restore([]life.Stop{life.NewStop("i1", 1000)})
+				t.Restore(life.NewStopHistory([]life.Stop{life.NewStop("i1", 1000)}))
 				t.Update(0, restarted(1))
 			},
 			want: "works",
 		},
 		"runs on after a stop without a start": {
 			do: func(t *life.Target) {
-				t.Restore([]life.Stop{life.NewStop("i1", life.AnyStart)})
+				t.Restore(life.NewStopHistory([]life.Stop{life.NewStop("i1", life.AnyStart)}))
 				t.Update(0, status(1, life.Ready{}))
 				t.Update(second, status(2, life.Ready{}))
 			},
--- a/core/life/stop.go
+++ b/core/life/stop.go
@@ -85,3 +85,25 @@
 	}
 	return stops
 }
+
+// StopHistory is what a daemon that starts knows of the earlier stops of its target. The
+// zero value is a whole history without stops.
+type StopHistory struct {
+	stops   []Stop
+	partial bool
+}
+
+// NewStopHistory returns a history that has every confirmed stop.
+func NewStopHistory(stops []Stop) StopHistory { return StopHistory{stops: stops} }
+
+// AsPartial returns the history as one in which confirmed stops may be missing.
+func (h StopHistory) AsPartial() StopHistory {
+	h.partial = true
+	return h
+}
+
+// Stops returns the stops.
+func (h StopHistory) Stops() []Stop { return h.stops }
+
+// Partial reports whether confirmed stops may be missing.
+func (h StopHistory) Partial() bool { return h.partial }
--- a/io/daemon/platform.go
+++ b/io/daemon/platform.go
@@ -99,13 +99,13 @@
 
 // restoreTarget takes the recorded stops of the target as soon as the store answers.
 func (d *Daemon) restoreTarget(ctx context.Context) {
-	stops, err := d.stops.Load(ctx)
+	history, err := d.stops.Load(ctx)
 	if err != nil {
 		return // the daemon ends
 	}
-	d.front.RestoreTarget(stops)
-	d.log.Info("target stops read", "stops", len(stops))
-	for _, s := range stops {
+	d.front.RestoreTarget(history)
+	d.log.Info("target stops read", "stops", len(history.Stops()), "partial", history.Partial())
+	for _, s := range history.Stops() {
 		d.log.Info("target stopped earlier", "id", s.ID(), "started", s.ProcessStarted())
 	}
 }
--- a/io/front/target.go
+++ b/io/front/target.go
@@ -35,10 +35,10 @@
 }
 
 // RestoreTarget takes the stops of the target that earlier processes recorded.
-func (f *Front) RestoreTarget(stops []life.Stop) {
+func (f *Front) RestoreTarget(h life.StopHistory) {
 	f.target.mu.Lock()
 	defer f.target.mu.Unlock()
-	f.target.core.Restore(stops)
+	f.target.core.Restore(h)
 }
 
 // UpdateTarget records a status that the target reported. It returns true for the
--- a/io/watch/era.go
+++ b/io/watch/era.go
@@ -32,6 +32,23 @@
 	return nil
 }
 
+// eraState is the era of a store, and that in which its records were last rebuilt.
+type eraState struct {
+	present, settled uint64
+}
+
+// readEraState reads both eras, from the listing at the start of a process if there is one.
+func readEraState(ctx context.Context, s store.Store) (eraState, error) {
+	settled, item, err := eraOf(store.GetPrefetched(ctx, s, eraKey))
+	return eraState{present: model.EraOf(item.StateVersion()), settled: settled}, err
+}
+
+// rebuilt reports whether the records are known to be rebuilt since the store was last
+// restored. A store in era zero was never restored. A later era that nobody has settled
+// is that of the first restore, or of a store that is new: the first daemons that follow
+// it settle it.
+func (e eraState) rebuilt() bool { return e.settled >= e.present }
+
 // awaitFirstEra tells the control loop whether the store was restored shortly before this
 // process started. Until it has answered, no quota lease may be claimed. A store without
 // eras costs one read, unless it is read ahead.
@@ -40,10 +57,10 @@
 		return
 	}
 	for failures := 0; ctx.Err() == nil; failures++ {
-		settled, item, err := eraOf(store.GetPrefetched(ctx, s, eraKey))
+		era, err := readEraState(ctx, s)
 		if err == nil {
-			if era := model.EraOf(item.StateVersion()); settled > 0 && settled < era {
-				_ = l.Do(ctx, ctrl.NewStoreRestored(era))
+			if era.settled > 0 && !era.rebuilt() {
+				_ = l.Do(ctx, ctrl.NewStoreRestored(era.present))
 			}
 			return
 		}
--- a/io/watch/stops.go
+++ b/io/watch/stops.go
@@ -40,22 +40,41 @@
 }
 
 // Load reads the stops of the target until the store answers. It returns the error of
-// ctx when that ends earlier.
-func (r *StopRecorder) Load(ctx context.Context) ([]life.Stop, error) {
+// ctx when that ends earlier. Stops may be missing if the records of the store are not
+// known to have been rebuilt since it was restored: the process that confirmed them may
+// have ended before it recorded them again.
+func (r *StopRecorder) Load(ctx context.Context) (life.StopHistory, error) {
 	for failures := 0; ; failures++ {
-		records, item, err := r.decode(store.GetPrefetched(ctx, r.store, StopsKey(r.domain)))
+		history, err := r.load(ctx)
 		if err == nil {
-			stops := life.StopsOf(records, r.name)
-			r.noteLoaded(stops, item)
-			return stops, nil
+			return history, nil
 		}
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
+			return life.StopHistory{}, ctx.Err()
 		}
 		backOff(ctx, failures)
 	}
 }
 
+// load reads the stops of the target once.
+func (r *StopRecorder) load(ctx context.Context) (life.StopHistory, error) {
+	era, err := readEraState(ctx, r.store)
+	if err != nil {
+		return life.StopHistory{}, err
+	}
+	records, item, err := r.decode(store.GetPrefetched(ctx, r.store, StopsKey(r.domain)))
+	if err != nil {
+		return life.StopHistory{}, err
+	}
+	stops := life.StopsOf(records, r.name)
+	r.noteLoaded(stops, item)
+	history := life.NewStopHistory(stops)
+	if !era.rebuilt() || model.EraOf(item.StateVersion()) != era.present {
+		history = history.AsPartial()
+	}
+	return history, nil
+}
+
 // noteLoaded remembers stops that are in the store.
 func (r *StopRecorder) noteLoaded(stops []life.Stop, item store.Item) {
 	r.mu.Lock()
--- a/io/watch/stops_test.go
+++ b/io/watch/stops_test.go
@@ -60,7 +60,7 @@
 					want = []int64{1000}
 				}
 				var starts []int64
-				for _, s := range got {
+				for _, s := range got.Stops() {
 					starts = append(starts, s.ProcessStarted())
 				}
 				if diff := cmp.Diff(want, starts); diff != "" {
@@ -99,7 +99,7 @@
 		s.SetFault(nil)
 		time.Sleep(2 * time.Second)
 		got, err := watch.NewStopRecorder(&s, "north", "stock-0").Load(t.Context())
-		if diff := cmp.Diff(2, len(got)); diff != "" {
+		if diff := cmp.Diff(2, len(got.Stops())); diff != "" {
 			t.Error(diff, got, err)
 		}
 		cancel()
