A body that goes on after the answer keeps all its bytes

What was seen: a target that answers before it has read a body in chunks got other bytes where the rest was due (number 34816 in place of 16384 of a numbered body). Some uploads stood still until the stall time and broke off their answers.

Cause: when a handler writes its response, net/http reads up to 256 KiB of the rest of the request's body. The transport reads the same body on its way to the target, which then lacks what the server took.

Change: writeResponse enables full duplex before the response begins. Refusals keep the old way. Both daemons on the way use writeResponse.

The route /uploads of the test fleet is open: no request on it is refused for lack of tokens, after which a body that was sent in part can't be sent again.

--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -112,6 +112,7 @@
 add route stock PUT /items idempotent
 add route stock GET /once
 add route stock POST /orders
+add route stock POST /uploads open
 add org acme rate 100000 burst 10000
 grant acme key ` + orgKey
 
--- a/io/front/copy.go
+++ b/io/front/copy.go
@@ -73,6 +73,9 @@
 // reader does not mistake it for a complete one.
 func writeResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, timer *requestTimer, memory *memoryBudget) error {
 	timer.progressed()
+	// The request's body may still be read on its way to the target. Without this the server
+	// would take a part of it, to keep the connection.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	connection := w.Header().Get("Connection")
 	copyHeader(w.Header(), resp.Header)
 	if connection != "" {
