A reset is not taken for the end of an answer without a length

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The caller got that part as a complete answer.

Cause: the operating system reports a reset once. Where the goroutine that writes the body takes it, the one that reads the answer sees a plain end of stream, which for an answer without a length means that it is whole.

Change: a dialed connection asks for its state (TCP_INFO) when a read finds the end: after an orderly one it is open for writing, after a reset or a timeout it is closed and the read fails. Nothing waits for the writer. Where the state is not known, a write that failed or is in progress counts.

Related paths: connections to other daemons and to the store are of the same kind; daemons answer with a length or in chunks, the store in JSON. An answer that ends in order while the upload goes on is whole.

An old and a new daemon beside each other: the one beside the target decides.

--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -53,8 +53,13 @@
 	return withDrain(ln), nil
 }
 
-// DialContext connects to an address within dialTimeout.
+// DialContext connects to an address within dialTimeout. A reset of the connection is
+// reported to its reader, whoever the operating system reports it to.
 func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return d.DialContext(ctx, network, address)
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &dialedConn{Conn: conn}, nil
 }
