core/quota, io/daemon, io/front: long files divided by job

Limits, the state of one organisation, members, claims of leases, answers to asks, refills, the planned stop, the servers, claims of keys and replayed responses have files of their own. No line of code has changed.

--- /dev/null
+++ b/core/quota/claim.go
@@ -0,0 +1,155 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"anvilstand/core/fleet"
+	"anvilstand/core/model"
+)
+
+// seekLease claims the lease of this daemon's domain when nobody holds it:
+// there is none yet, its holder resigned, its process is proven to have ended,
+// or its holder left a challenge unanswered for the lifetime of a lease. A
+// daemon that is no candidate claims only while its own requests need tokens.
+func (mgr *Manager) seekLease(now model.Instant, q *orgQuota, lease Lease, exists bool, out *Outbox) {
+	if q.memberIndex >= maxCandidates && now.Sub(q.lastRefill) > avoidanceTime {
+		return
+	}
+	if !exists {
+		mgr.claimNew(now, q, out)
+		return
+	}
+	// This process listens at the holder's address, so the holder has ended.
+	if lease.holder.address == mgr.self.address {
+		mgr.MarkEnded(lease.holder.incarnation)
+	}
+	if lease.holder.incarnation != 0 && !mgr.ended[lease.holder.incarnation] {
+		q.vacantSince = 0
+		mgr.challengeHolder(now, q, lease, out)
+		return
+	}
+	if mgr.isTurn(now, q, lease.holder.address == mgr.self.address) {
+		mgr.takeOver(now, q, lease, lease.level, out)
+	}
+}
+
+// isTurn reports whether it is this daemon's turn to claim a vacant or missing
+// lease: each further candidate waits candidateStep longer. A process at the
+// address of the previous holder need not wait.
+func (mgr *Manager) isTurn(now model.Instant, q *orgQuota, sameAddress bool) bool {
+	if q.vacantSince == 0 {
+		q.vacantSince = now
+	}
+	var delay time.Duration
+	if mgr.hasSuccessor(q) {
+		delay = time.Duration(min(q.domainIndex, maxTakeOverSteps)) * takeOverStep
+	}
+	if sameAddress {
+		return now.Sub(q.vacantSince) >= delay
+	}
+	delay += time.Duration(min(q.memberIndex, maxCandidates)) * candidateStep
+	if mgr.hasSuccessor(q) {
+		delay += successorHeadStart + time.Duration(min(mgr.rankOf(q.org), maxRank))*rankStep
+	}
+	return now.Sub(q.vacantSince) >= delay
+}
+
+// hasSuccessor reports whether the holder of the domain's lease has ended. The proof is
+// that another process answers at its address, which takes the lease over.
+func (mgr *Manager) hasSuccessor(q *orgQuota) bool {
+	lease, _ := q.record.Lease(mgr.domain)
+	return mgr.ended[lease.holder.incarnation]
+}
+
+// areMembersStable reports whether the members have been unchanged for long
+// enough. While requests of the organisation need tokens it does not wait for
+// that.
+func (mgr *Manager) areMembersStable(now model.Instant, q *orgQuota) bool {
+	if q.lastRefill != 0 && now.Sub(q.lastRefill) < avoidanceTime {
+		return true
+	}
+	return now.Sub(mgr.membersChanged) >= membersStableTime || now.Sub(mgr.firstMembers) >= maxMembersStableWait
+}
+
+// isListed reports whether this daemon is among the members of its domain. Until then it
+// knows few others and takes itself for the first candidate.
+func (mgr *Manager) isListed() bool {
+	return slices.ContainsFunc(mgr.members, func(m fleet.Member) bool { return m.Incarnation() == mgr.self.incarnation })
+}
+
+// claimNew claims a lease for a domain without one.
+func (mgr *Manager) claimNew(now model.Instant, q *orgQuota, out *Outbox) {
+	if !mgr.areMembersStable(now, q) {
+		return
+	}
+	if !mgr.isListed() && now.Sub(mgr.firstMembers) < maxListingWait {
+		return
+	}
+	weight := min(mgr.targetWeight(q), q.record.Free())
+	if model.RevisionOf(q.version) == 0 {
+		weight = mgr.targetWeight(q)
+	}
+	if now.Sub(mgr.domainsChanged) < domainsStableTime {
+		return
+	}
+	if weight == 0 {
+		if q.memberIndex < maxCandidates {
+			mgr.idleRead(now, q, out)
+		}
+		return
+	}
+	if now.Sub(mgr.domainsChanged) < domainsStableTime+time.Duration(q.domainIndex)*domainStep || !mgr.isTurn(now, q, false) {
+		return
+	}
+	next := q.record
+	if model.RevisionOf(q.version) == 0 {
+		next = Record{neverHeld: FullWeight}
+	}
+	unheld := min(weight, next.neverHeld)
+	next.neverHeld -= unheld
+	pending := pendingSwap{initialTokens: q.part(q.burst, unheld)}
+	mgr.swap(now, q, next.with(NewLease(mgr.domain, mgr.self, weight, 0, false)), pending, out)
+}
+
+// takeOver takes over a lease that is vacant, whose holder has ended, or whose
+// holder's time has run out. Tokens that the last holder may have issued count
+// as outstanding until they have expired.
+func (mgr *Manager) takeOver(now model.Instant, q *orgQuota, lease Lease, level float64, out *Outbox) {
+	if lease.holder.incarnation != 0 {
+		level = 0
+	}
+	limit := q.part(q.burst, lease.weight)
+	pending := pendingSwap{initialTokens: level, assumed: mgr.assumeOutstanding(q, lease.weight, limit-level)}
+	mgr.swap(now, q, q.record.with(NewLease(mgr.domain, mgr.self, lease.weight, 0, false)), pending, out)
+}
+
+// challengeHolder watches the holder of the domain's lease. After a long
+// silence it writes a challenge to the record, which a living holder removes. A
+// challenge stops the lease from being renewed (see renew). So once the challenge
+// has been in the record for the lifetime of a lease, lengthened by the drift
+// bound of the clocks, the lease has expired by the holder's own clock and is
+// taken over.
+func (mgr *Manager) challengeHolder(now model.Instant, q *orgQuota, lease Lease, out *Outbox) {
+	if q.memberIndex < maxCandidates && now.Sub(q.lastPoll) >= pollInterval {
+		q.lastPoll = now
+		mgr.pollHolder(now, q, lease, out)
+	}
+	if !lease.challenged {
+		q.challengedSince = 0
+		s := q.holders[lease.domain]
+		if q.memberIndex < maxCandidates && s.incarnation == lease.holder.incarnation && s.unanswered > 2 && now.Sub(s.unansweredSince) >= challengeAfter {
+			lease.challenged = true
+			mgr.swap(now, q, q.record.with(lease), pendingSwap{}, out)
+		}
+		return
+	}
+	if q.challengedSince == 0 {
+		q.challengedSince = now
+	}
+	if now.Sub(q.challengedSince) < model.WithDrift(mgr.leaseTTL) {
+		mgr.pollRecord(now, q, out)
+		return
+	}
+	mgr.takeOver(now, q, lease, 0, out)
+}
