--- a/review/third/platform/config.go
+++ b/review/third/platform/config.go
@@ -18,8 +18,9 @@
 	rate, burst int
 }
 
-// configure writes the first configuration, as the operator does.
+// configure writes the next configuration, as the operator does.
 func (f *fleet) configure(routes []route, tenants []tenant) {
+	f.version += 3
 	var rs, ss, ts []map[string]any
 	for i, r := range routes {
 		rs = append(rs, map[string]any{
@@ -36,7 +37,7 @@
 		ts = append(ts, map[string]any{"name": t.name, "apiKeys": []string{t.key}, "priority": 1, "ratePerS": t.rate, "burst": t.burst})
 	}
 	config := map[string]any{
-		"version": "00000001", "routes": rs, "services": ss,
+		"version": fmt.Sprintf("%08x", f.version), "routes": rs, "services": ss,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	}
 	if len(ts) > 0 {
--- a/review/third/platform/fleet.go
+++ b/review/third/platform/fleet.go
@@ -34,6 +34,8 @@
 	subnet int // second number of the addresses, 127.N.x.1
 	added  int // machines added so far
 	waves  int // times that daemons were started
+	// version is that of the newest configuration.
+	version int
 }
 
 // operPort is the port of the daemons' metrics in the template of the deploy file.
--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -36,7 +36,7 @@
 func main() { os.Exit(int(run())) }
 
 func run() outcome {
-	plays := map[string]play{"lost": playLost, "crash": playCrash, "full": playFull, "gone": playGone, "pause": playPause}
+	plays := map[string]play{"lost": playLost, "crash": playCrash, "gone": playGone, "slow": playSlow, "tenant": playTenant}
 	if len(os.Args) < argCount || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE DIR; the record goes to standard output")
 		return cannot
